--- /dev/null
+++ b/src/api/routes.ts
@@ -0,0 +1,135 @@
+import type { HttpReply, HttpRequest } from '../http/server.js';
+import { fitCount } from '../plan/profile.js';
+import type { ControllerNode } from '../shards/node.js';
+import { Unavailable } from '../shards/shard.js';
+import type { World } from '../shards/world.js';
+import { StateFailure } from '../state/store.js';
+import { isJobId, type JobSpec, readJob, USER_PATHS, writeAccepted, writeStatus } from '../wire/users.js';
+import { readReport, WORKER_PATHS, writeRedirect } from '../wire/workers.js';
+
+const JOB_PATH = /^\/api\/jobs\/([^/]+)(?:\/([^/]+))?$/;
+
+/** What users and workers ask over HTTP. */
+export class Api {
+  constructor(
+    private readonly world: World,
+    private readonly node: ControllerNode,
+  ) {}
+
+  async handle(request: HttpRequest): Promise<HttpReply> {
+    try {
+      return await this.route(request);
+    } catch (error) {
+      if (error instanceof Unavailable || error instanceof StateFailure) {
+        this.world.log.debug({ path: request.path, error: error.message }, 'not now');
+        return later(503, 1, error.message);
+      }
+      throw error;
+    }
+  }
+
+  private async route(r: HttpRequest): Promise<HttpReply> {
+    if (r.path === USER_PATHS.health) {
+      if (r.method !== 'GET') return wrongMethod('GET');
+      return this.node.healthy ? { status: 200, body: { ok: true } } : later(503, 1, 'starting');
+    }
+    if (r.path === WORKER_PATHS.report) return r.method === 'POST' ? this.report(r) : wrongMethod('POST');
+    if (r.path === USER_PATHS.jobs) return r.method === 'POST' ? this.submit(r) : wrongMethod('POST');
+    const job = JOB_PATH.exec(r.path);
+    if (!job) return { status: 404, body: { error: 'no such path' } };
+    const id = decode(job[1]!);
+    if (job[2] === undefined) return r.method === 'GET' ? this.status(id) : wrongMethod('GET');
+    if (job[2] !== USER_PATHS.cancel) return { status: 404, body: { error: 'no such path' } };
+    return r.method === 'POST' ? this.cancel(id) : wrongMethod('POST');
+  }
+
+  private report(r: HttpRequest): HttpReply {
+    const report = readReport(parse(r.body));
+    if (!report) {
+      this.world.log.info('a report that cannot be read');
+      return { status: 400, body: { error: 'not a report' } };
+    }
+    const answer = this.node.report(report);
+    if (answer.kind === 'orders') return { status: 200, body: answer.body };
+    if (answer.kind === 'redirect') return { status: 421, body: writeRedirect(answer.node) };
+    return { status: 503, body: { error: 'not now' } };
+  }
+
+  private async submit(r: HttpRequest): Promise<HttpReply> {
+    const body = parse(r.body);
+    if (typeof body !== 'object' || body === null || Array.isArray(body)) return bad('not a JSON object');
+    const spec = readJob(body);
+    if (typeof spec === 'string') return bad(spec);
+    if (!this.world.catalog.known) return later(503, 1, 'machine types are not known yet');
+    const never = this.neverRuns(spec);
+    if (never !== null) {
+      // A job that was accepted once is never refused, whatever the machine types are now.
+      const entry = await this.node.locate(spec.id);
+      if (!entry) return { status: 422, body: { error: never } };
+    }
+    const answer = await this.node.submit(spec);
+    if (answer.kind === 'refused') return later(429, answer.retryS, 'no plan meets the deadline');
+    if (answer.kind === 'accepted') return { status: 201, body: writeAccepted(spec.id, 'queued') };
+    return { status: 200, body: writeAccepted(spec.id, answer.status) };
+  }
+
+  private neverRuns(spec: JobSpec): string | null {
+    const { teams } = this.world.settings;
+    const team = teams.find((t) => t.name === spec.team);
+    if (teams.length > 0 && !team) return `unknown team ${spec.team}`;
+    const fits = this.world.catalog
+      .all()
+      .some(
+        ([, t]) =>
+          (!spec.types || spec.types.includes(t.name)) &&
+          (spec.zone === null || t.zones.includes(spec.zone)) &&
+          fitCount(t, spec, 1) > 0,
+      );
+    if (!fits) return 'a task fits no allowed machine type';
+    if (!team) return null;
+    const n = spec.kind === 'array' ? 1 : spec.tasks;
+    if (team.cpusMax > 0 && n * spec.cpus > team.cpusMax + 1e-6) return 'more CPUs than the team may use';
+    if (team.gpusMax > 0 && n * spec.gpus > team.gpusMax + 1e-6) return 'more GPUs than the team may use';
+    return null;
+  }
+
+  private async status(id: string): Promise<HttpReply> {
+    const answer = isJobId(id) ? await this.node.status(id) : null;
+    if (!answer) return { status: 404, body: { error: 'no such job' } };
+    return { status: 200, body: writeStatus(id, answer.status, answer.done, answer.running) };
+  }
+
+  private async cancel(id: string): Promise<HttpReply> {
+    const answer = isJobId(id) ? await this.node.cancel(id) : null;
+    if (!answer) return { status: 404, body: { error: 'no such job' } };
+    return { status: 200, body: writeAccepted(id, answer) };
+  }
+}
+
+function parse(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+function decode(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return '';
+  }
+}
+
+function bad(error: string): HttpReply {
+  return { status: 400, body: { error } };
+}
+
+function later(status: number, seconds: number, error: string): HttpReply {
+  return { status, body: { error }, headers: { 'Retry-After': String(seconds) } };
+}
+
+function wrongMethod(allow: string): HttpReply {
+  return { status: 405, body: { error: 'method not allowed' }, headers: { Allow: allow } };
+}
--- /dev/null
+++ b/src/clock/clock.ts
@@ -0,0 +1,31 @@
+/** Time as the service sees it; tests put a fake one in its place. */
+export interface Clock {
+  /** Steady milliseconds since an arbitrary start. */
+  now(): number;
+  /** Time of day in milliseconds, within the platform's skew. */
+  wall(): number;
+  after(ms: number, run: () => void): Timer;
+}
+
+export interface Timer {
+  cancel(): void;
+}
+
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  wall: () => Date.now(),
+  after(ms, run) {
+    const handle = setTimeout(run, Math.max(0, ms));
+    return { cancel: () => clearTimeout(handle) };
+  },
+};
+
+/** Resolves after `ms`. */
+export function pause(clock: Clock, ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(ms, resolve);
+  });
+}
+
+/** The steady clocks of two machines drift apart by no more than this share. */
+export const DRIFT = 0.0005;
--- /dev/null
+++ b/src/cloud/cloud.ts
@@ -0,0 +1,99 @@
+import type { Clock } from '../clock/clock.js';
+import { HttpFailure, type Requester } from '../http/client.js';
+import { Limiter, Overloaded } from '../state/limiter.js';
+import {
+  CLOUD_PATHS,
+  type ListedMachine,
+  listPath,
+  type MachineType,
+  RELEASE_LIMIT,
+  readList,
+  readRented,
+  readTypes,
+  writeRelease,
+  writeRental,
+} from '../wire/cloud.js';
+
+export class CloudFailure extends Error {}
+
+export interface RentalRequest {
+  request: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+const TIMEOUT_MS = 5000;
+
+/** The cloud, within this node's part of its rate. */
+export class Cloud {
+  private readonly limiter: Limiter;
+
+  constructor(
+    clock: Clock,
+    private readonly http: Requester,
+    private readonly addr: string,
+    rps: number,
+    nodes: number,
+  ) {
+    const part = (0.85 * rps) / nodes;
+    this.limiter = new Limiter(clock, part, Math.max(1, part * 2));
+  }
+
+  async types(): Promise<MachineType[]> {
+    const answer = await this.send('GET', CLOUD_PATHS.types, null);
+    const types = answer.status === 200 ? readTypes(answer.body) : null;
+    if (!types) throw new CloudFailure(`types: ${answer.status}`);
+    return types;
+  }
+
+  async list(): Promise<ListedMachine[]> {
+    const all: ListedMachine[] = [];
+    let after: string | null = null;
+    for (;;) {
+      const answer = await this.send('GET', listPath(after, 500), null);
+      const page = answer.status === 200 ? readList(answer.body) : null;
+      if (!page) throw new CloudFailure(`list: ${answer.status}`);
+      all.push(...page.machines);
+      const last = page.machines.at(-1);
+      if (!page.more || !last) return all;
+      after = last.id;
+    }
+  }
+
+  /** The machines rented; null when there is no capacity. The same request may be sent again until it is answered. */
+  async rent(r: RentalRequest): Promise<string[] | null> {
+    const answer = await this.send(
+      'POST',
+      CLOUD_PATHS.machines,
+      writeRental(r.request, r.type, r.zone, r.spot, r.count),
+    );
+    if (answer.status === 503 && (answer.body as { error?: unknown } | null)?.error === 'no capacity')
+      return null;
+    const rented = answer.status === 200 ? readRented(answer.body) : null;
+    if (!rented) throw new CloudFailure(`rent: ${answer.status}`);
+    return rented;
+  }
+
+  async release(machines: string[]): Promise<void> {
+    for (let i = 0; i < machines.length; i += RELEASE_LIMIT) {
+      const answer = await this.send(
+        'POST',
+        CLOUD_PATHS.release,
+        writeRelease(machines.slice(i, i + RELEASE_LIMIT)),
+      );
+      if (answer.status !== 200) throw new CloudFailure(`release: ${answer.status}`);
+    }
+  }
+
+  private async send(method: string, path: string, body: object | null) {
+    try {
+      await this.limiter.take(1, false, 10_000);
+      return await this.http.request(this.addr, method, path, body, TIMEOUT_MS);
+    } catch (error) {
+      if (error instanceof Overloaded || error instanceof HttpFailure) throw new CloudFailure(error.message);
+      throw error;
+    }
+  }
+}
--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,184 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import * as v from 'valibot';
+
+export interface Team {
+  name: string;
+  cpus: number;
+  cpusMax: number;
+  gpus: number;
+  gpusMax: number;
+}
+
+export interface Objective {
+  kind: string;
+  class: string | null;
+  withinS: number | null;
+  share: number | null;
+}
+
+export interface Endpoint {
+  host: string;
+  port: number;
+}
+
+export interface Peer {
+  node: string;
+  zone: string;
+  addr: string;
+}
+
+export interface Settings {
+  node: string;
+  zone: string;
+  listen: Endpoint;
+  peerListen: Endpoint;
+  peers: Peer[];
+  cloud: string;
+  state: string;
+  nodes: number;
+  zones: string[];
+  skewMs: number;
+  teams: Team[];
+  objectives: Objective[];
+  workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  stateLimits: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  cloudLimits: { rps: number; listLagS: number };
+  limits: { cores: number; memoryMb: number; maxSockets: number };
+}
+
+/** A settings file that cannot be used; the message names the field. */
+export class SettingsError extends Error {}
+
+const text = v.pipe(v.string(), v.minLength(1));
+const address = v.pipe(v.string(), v.regex(/^[^\s:]+:\d{1,5}$/, 'must be host:port'));
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0, 'must be above 0'));
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0, 'must not be negative'));
+
+const file = v.object({
+  node: text,
+  zone: text,
+  bind: address,
+  peer_bind: address,
+  seeds: v.optional(v.array(v.object({ node: text, zone: text, endpoint: address })), []),
+  external: v.object({ cloud: address, state: address }),
+  params: v.object({
+    initial_size: v.pipe(v.number(), v.integer(), v.minValue(1)),
+    zones: v.optional(v.array(text), []),
+    skew_ms: v.optional(amount, 1000),
+    teams: v.optional(
+      v.array(
+        v.object({
+          name: text,
+          cpus: v.optional(amount, 0),
+          cpus_max: v.optional(amount, 0),
+          gpus: v.optional(amount, 0),
+          gpus_max: v.optional(amount, 0),
+        }),
+      ),
+      [],
+    ),
+    objectives: v.optional(
+      v.array(
+        v.object({
+          kind: text,
+          class: v.nullish(text),
+          within_s: v.nullish(amount),
+          share: v.nullish(amount),
+        }),
+      ),
+      [],
+    ),
+    workers: v.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: v.pipe(v.number(), v.integer(), v.minValue(1)),
+    }),
+    cloud: v.object({ rps: positive, list_lag_s: amount }),
+    limits: v.object({ cores: positive, memory_mb: positive, max_sockets: positive }),
+  }),
+});
+
+function endpoint(addr: string): Endpoint {
+  const colon = addr.lastIndexOf(':');
+  return { host: addr.slice(0, colon), port: Number(addr.slice(colon + 1)) };
+}
+
+export function parseSettings(content: string): Settings {
+  let raw: unknown;
+  try {
+    raw = parse(content);
+  } catch (error) {
+    throw new SettingsError(`not TOML: ${error instanceof Error ? error.message.split('\n')[0] : error}`);
+  }
+  const parsed = v.safeParse(file, raw);
+  if (!parsed.success) {
+    const issue = parsed.issues[0];
+    throw new SettingsError(`${v.getDotPath(issue) ?? 'settings'}: ${issue.message}`);
+  }
+  const f = parsed.output;
+  const p = f.params;
+  const names = new Set<string>([f.node]);
+  for (const [i, s] of f.seeds.entries()) {
+    if (names.has(s.node)) throw new SettingsError(`seeds.${i}.node: ${s.node} is named twice`);
+    names.add(s.node);
+  }
+  return {
+    node: f.node,
+    zone: f.zone,
+    listen: endpoint(f.bind),
+    peerListen: endpoint(f.peer_bind),
+    peers: f.seeds.map((s) => ({ node: s.node, zone: s.zone, addr: s.endpoint })),
+    cloud: f.external.cloud,
+    state: f.external.state,
+    nodes: p.initial_size,
+    zones: p.zones,
+    skewMs: p.skew_ms,
+    teams: p.teams.map((t) => ({
+      name: t.name,
+      cpus: t.cpus,
+      cpusMax: t.cpus_max,
+      gpus: t.gpus,
+      gpusMax: t.gpus_max,
+    })),
+    objectives: p.objectives.map((o) => ({
+      kind: o.kind,
+      class: o.class ?? null,
+      withinS: o.within_s ?? null,
+      share: o.share ?? null,
+    })),
+    workers: {
+      reportS: p.workers.report_s,
+      leaseS: p.workers.lease_s,
+      gangWaitS: p.workers.gang_wait_s,
+      gangPeerS: p.workers.gang_peer_s,
+      cancelS: p.workers.cancel_s,
+    },
+    stateLimits: {
+      rps: p.state.rps,
+      writeRps: p.state.write_rps,
+      valueKb: p.state.value_kb,
+      txnOps: p.state.txn_ops,
+    },
+    cloudLimits: { rps: p.cloud.rps, listLagS: p.cloud.list_lag_s },
+    limits: { cores: p.limits.cores, memoryMb: p.limits.memory_mb, maxSockets: p.limits.max_sockets },
+  };
+}
+
+export function loadSettings(path: string): Settings {
+  let content: string;
+  try {
+    content = readFileSync(path, 'utf8');
+  } catch (error) {
+    throw new SettingsError(`cannot read ${path}: ${error instanceof Error ? error.message : error}`);
+  }
+  return parseSettings(content);
+}
--- /dev/null
+++ b/src/jobs/bits.ts
@@ -0,0 +1,42 @@
+/** A set of task numbers, stored in chunks that fit the state service's values. */
+export class TaskSet {
+  private readonly bytes: Uint8Array;
+  count = 0;
+
+  constructor(readonly size: number) {
+    this.bytes = new Uint8Array(Math.ceil(size / 8));
+  }
+
+  has(i: number): boolean {
+    return (this.bytes[i >> 3]! & (1 << (i & 7))) !== 0;
+  }
+
+  add(i: number): boolean {
+    if (i < 0 || i >= this.size || this.has(i)) return false;
+    this.bytes[i >> 3]! |= 1 << (i & 7);
+    this.count++;
+    return true;
+  }
+
+  /** One chunk of `per` tasks as text. */
+  chunk(n: number, per: number): string {
+    const from = (n * per) / 8;
+    return Buffer.from(this.bytes.subarray(from, Math.min(this.bytes.length, from + per / 8))).toString(
+      'base64',
+    );
+  }
+
+  load(n: number, per: number, text: string): void {
+    const from = n * per;
+    const bytes = Buffer.from(text, 'base64');
+    for (let i = 0; i < bytes.length * 8 && from + i < this.size; i++) {
+      if (bytes[i >> 3]! & (1 << (i & 7))) this.add(from + i);
+    }
+  }
+}
+
+/** Tasks per chunk so that a chunk's text fits a value; a multiple of eight. */
+export function chunkTasks(valueKb: number): number {
+  const textBytes = Math.max(64, Math.min(48 * 1024, valueKb * 1024 - 128));
+  return Math.floor(textBytes / 4) * 3 * 8;
+}
--- /dev/null
+++ b/src/jobs/job.ts
@@ -0,0 +1,103 @@
+import type { Amounts } from '../plan/profile.js';
+import type { JobSpec, JobStatus } from '../wire/users.js';
+import type { Held } from '../workers/machine.js';
+import { TaskSet } from './bits.js';
+
+/** An accepted job as its owner holds it. */
+export interface Job {
+  spec: JobSpec;
+  /** Position in the order of acceptance. */
+  order: number;
+  team: number;
+  need: Amounts;
+  types: Set<number> | null;
+  zone: number | null;
+  image: number;
+  acceptedWall: number;
+  deadlineWall: number;
+  /** Accepted under the present ownership, so that no task of it can be anywhere unseen. */
+  fresh: boolean;
+  /** Tasks known to be done; `stored` counts those that the state service knows of. */
+  done: TaskSet;
+  stored: number;
+  /** Tasks that are, or may be, on a machine. */
+  places: Map<number, Held>;
+  /** Versions of its chunks of done tasks. */
+  chunkVersions: Map<number, number>;
+  dirtyChunks: Set<number>;
+  version: number;
+  state: 'active' | 'done' | 'cancelled';
+  writing: boolean;
+  /** Failures in a row, on whatever machine. */
+  failures: number;
+  failedOn: Set<string>;
+  notBefore: number;
+  attempt: number;
+}
+
+export interface JobRecord {
+  spec: JobSpec;
+  accepted: number;
+  deadline: number;
+}
+
+/** What stays of a job for as long as anybody may ask. */
+export interface JobEntry {
+  shard: number;
+  final?: 'done' | 'cancelled';
+  tasks?: number;
+  tag?: string;
+}
+
+export function jobStatus(job: Job): { status: JobStatus; done: number; running: number } {
+  let running = 0;
+  for (const h of job.places.values()) if (h.state === 'running' || h.state === 'saving') running++;
+  const status = job.state === 'active' ? (running > 0 ? 'running' : 'queued') : job.state;
+  return { status, done: job.done.count, running };
+}
+
+export function makeJob(
+  spec: JobSpec,
+  record: { accepted: number; deadline: number; order: number; fresh: boolean; version: number },
+  names: { team: number; types: Set<number> | null; zone: number | null; image: number },
+): Job {
+  return {
+    spec,
+    order: record.order,
+    team: names.team,
+    need: { cpus: spec.cpus, gpus: spec.gpus, memoryGb: spec.memoryGb },
+    types: names.types,
+    zone: names.zone,
+    image: names.image,
+    acceptedWall: record.accepted,
+    deadlineWall: record.deadline,
+    fresh: record.fresh,
+    done: new TaskSet(spec.tasks),
+    stored: 0,
+    places: new Map(),
+    chunkVersions: new Map(),
+    dirtyChunks: new Set(),
+    version: record.version,
+    state: 'active',
+    writing: false,
+    failures: 0,
+    failedOn: new Set(),
+    notBefore: 0,
+    attempt: 0,
+  };
+}
+
+/** Numbers of tasks that are neither done nor anywhere, up to `most`. */
+export function openTasks(job: Job, most: number): number[] {
+  const out: number[] = [];
+  for (let i = 0; i < job.spec.tasks && out.length < most; i++) {
+    if (!job.done.has(i) && !job.places.has(i)) out.push(i);
+  }
+  return out;
+}
+
+export function openCount(job: Job): number {
+  let placed = 0;
+  for (const i of job.places.keys()) if (!job.done.has(i)) placed++;
+  return job.spec.tasks - job.done.count - placed;
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,99 @@
+#!/usr/bin/env node
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { Command, Option } from 'commander';
+import { Api } from './api/routes.js';
+import { systemClock } from './clock/clock.js';
+import { Cloud } from './cloud/cloud.js';
+import { LEVELS, makeLog } from './config/log.js';
+import { loadSettings, type Settings, SettingsError } from './config/settings.js';
+import { HttpClient } from './http/client.js';
+import { HttpServer } from './http/server.js';
+import { PeerMesh } from './peer/mesh.js';
+import { ControllerNode } from './shards/node.js';
+import { Catalog, Names, type World } from './shards/world.js';
+import { StateStore } from './state/store.js';
+
+const EXIT_SETTINGS = 2;
+const EXIT_BIND = 3;
+
+function version(): string {
+  const text = readFileSync(new URL('../package.json', import.meta.url), 'utf8');
+  return (JSON.parse(text) as { version: string }).version;
+}
+
+function fail(code: number, message: string): never {
+  process.stderr.write(`spartray: ${message}\n`);
+  process.exit(code);
+}
+
+async function run(settings: Settings, level: string): Promise<void> {
+  const log = makeLog(level, settings.node);
+  process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught'));
+  process.on('unhandledRejection', (error) => log.error({ error: String(error) }, 'unhandled'));
+  const clock = systemClock;
+  // Sockets are parted: most for users and workers, the rest for what this node opens itself.
+  const sockets = settings.limits.maxSockets;
+  const outgoing = Math.max(8, Math.floor(sockets * 0.3));
+  const http = new HttpClient(clock, outgoing);
+  const names = new Names();
+  for (const t of settings.teams) names.teams.index(t.name);
+  for (const z of settings.zones) names.zones.index(z);
+  const world: World = {
+    clock,
+    settings,
+    log,
+    http,
+    store: new StateStore(clock, http, settings.state, { ...settings.stateLimits, nodes: settings.nodes }),
+    cloud: new Cloud(clock, http, settings.cloud, settings.cloudLimits.rps, settings.nodes),
+    names,
+    catalog: new Catalog(names),
+    run: `${settings.node}-${randomUUID().slice(0, 13)}`,
+  };
+  const node = new ControllerNode(world);
+  const api = new Api(world, node);
+  const onError = (error: unknown) =>
+    log.error({ error: error instanceof Error ? error.stack : String(error) }, 'error');
+  const mesh = new PeerMesh(clock, settings.node, settings.peers, onError);
+  const server = new HttpServer(clock, (request) => api.handle(request), {
+    maxConnections: Math.max(16, sockets - outgoing - 80),
+    bodyBytes: 64 * 1024,
+    requestMs: 10_000,
+    idleMs: 90_000,
+    onError,
+  });
+  try {
+    await mesh.listen(settings.peerListen, (op, args) => node.serve(op, args));
+    await server.listen(settings.listen.host, settings.listen.port);
+  } catch (error) {
+    fail(EXIT_BIND, `cannot listen: ${error instanceof Error ? error.message : error}`);
+  }
+  log.info('listening');
+  await node.start(mesh);
+}
+
+const command = new Command('spartray')
+  .description('A controller of the spartray cluster scheduler.')
+  .version(version())
+  .requiredOption('--config <file>', 'settings file that the platform hands over (TOML)')
+  .option('--check', 'check the settings and exit')
+  .addOption(
+    new Option('--log-level <level>', 'amount of logging').choices(LEVELS).env('LOG_LEVEL').default('info'),
+  )
+  .action(async (options: { config: string; check?: boolean; logLevel: string }) => {
+    let settings: Settings;
+    try {
+      settings = loadSettings(options.config);
+    } catch (error) {
+      if (error instanceof SettingsError) fail(EXIT_SETTINGS, `settings: ${error.message}`);
+      throw error;
+    }
+    if (options.check) {
+      process.stdout.write('settings are valid\n');
+      return;
+    }
+    await run(settings, options.logLevel);
+  });
+
+command.exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : EXIT_SETTINGS));
+await command.parseAsync();
--- /dev/null
+++ b/src/peer/mesh.ts
@@ -0,0 +1,186 @@
+import net from 'node:net';
+import type { Clock, Timer } from '../clock/clock.js';
+import type { Endpoint, Peer } from '../config/settings.js';
+import { encodeFrame, FrameReader, type PeerMessage } from './frames.js';
+
+export type PeerHandler = (op: string, args: unknown, from: string) => Promise<unknown> | unknown;
+
+export interface Mesh {
+  /** Asks another node; fails when there is no answer in time. */
+  ask(node: string, op: string, args: unknown, timeoutMs: number): Promise<unknown>;
+  /** Tells another node, without knowing whether it hears. */
+  tell(node: string, op: string, args: unknown): void;
+}
+
+interface Pending {
+  resolve: (value: unknown) => void;
+  reject: (error: Error) => void;
+  timer: Timer;
+}
+
+const CONNECT_MS = 1500;
+const RETRY_MS = 300;
+const MAX_UNSENT_BYTES = 1024 * 1024;
+const MAX_INCOMING = 64;
+
+/** One outgoing connection to a peer, opened again whenever it breaks. */
+class Link {
+  private socket: net.Socket | null = null;
+  private ready = false;
+  private next = 1;
+  private readonly pending = new Map<number, Pending>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly self: string,
+    private readonly peer: Peer,
+  ) {
+    this.connect();
+  }
+
+  ask(op: string, args: unknown, timeoutMs: number): Promise<unknown> {
+    return new Promise((resolve, reject) => {
+      if (!this.ready) {
+        reject(new Error(`${this.peer.node} is not connected`));
+        return;
+      }
+      const id = this.next++;
+      const timer = this.clock.after(timeoutMs, () => {
+        this.pending.delete(id);
+        reject(new Error(`${this.peer.node} does not answer`));
+        // A cut may hold packets for minutes; a new connection finds out sooner that it is over.
+        this.socket?.destroy();
+      });
+      this.pending.set(id, { resolve, reject, timer });
+      this.write({ q: id, op, a: args });
+    });
+  }
+
+  tell(op: string, args: unknown): void {
+    if (this.ready) this.write({ op, a: args });
+  }
+
+  private write(message: PeerMessage): void {
+    if (!this.socket || this.socket.writableLength > MAX_UNSENT_BYTES) return;
+    this.socket.write(encodeFrame(message));
+  }
+
+  private connect(): void {
+    const colon = this.peer.addr.lastIndexOf(':');
+    const socket = net.connect({
+      host: this.peer.addr.slice(0, colon),
+      port: Number(this.peer.addr.slice(colon + 1)),
+      noDelay: true,
+    });
+    this.socket = socket;
+    const reader = new FrameReader();
+    const timer = this.clock.after(CONNECT_MS, () => socket.destroy());
+    socket.on('connect', () => {
+      timer.cancel();
+      this.ready = true;
+      this.write({ op: 'hello', a: this.self });
+    });
+    socket.on('data', (data) => {
+      try {
+        for (const m of reader.feed(data)) if ('r' in m) this.settle(m);
+      } catch {
+        socket.destroy();
+      }
+    });
+    socket.on('error', () => socket.destroy());
+    socket.on('end', () => socket.destroy());
+    socket.on('close', () => {
+      timer.cancel();
+      this.ready = false;
+      this.socket = null;
+      for (const p of this.pending.values()) {
+        p.timer.cancel();
+        p.reject(new Error(`connection to ${this.peer.node} closed`));
+      }
+      this.pending.clear();
+      this.clock.after(RETRY_MS, () => this.connect());
+    });
+  }
+
+  private settle(m: { r: number; a?: unknown; e?: string }): void {
+    const p = this.pending.get(m.r);
+    if (!p) return;
+    this.pending.delete(m.r);
+    p.timer.cancel();
+    if (m.e !== undefined) p.reject(new Error(m.e));
+    else p.resolve(m.a);
+  }
+}
+
+/** Connections between the controllers. */
+export class PeerMesh implements Mesh {
+  private readonly links = new Map<string, Link>();
+  private incoming = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly self: string,
+    private readonly peers: Peer[],
+    private readonly onError: (error: unknown) => void,
+  ) {}
+
+  listen(at: Endpoint, handler: PeerHandler): Promise<void> {
+    const server = net.createServer({ noDelay: true }, (socket) => this.serve(socket, handler));
+    server.on('error', this.onError);
+    for (const peer of this.peers) this.links.set(peer.node, new Link(this.clock, this.self, peer));
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen({ host: at.host, port: at.port }, () => {
+        server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  ask(node: string, op: string, args: unknown, timeoutMs: number): Promise<unknown> {
+    const link = this.links.get(node);
+    return link ? link.ask(op, args, timeoutMs) : Promise.reject(new Error(`unknown node ${node}`));
+  }
+
+  tell(node: string, op: string, args: unknown): void {
+    this.links.get(node)?.tell(op, args);
+  }
+
+  private serve(socket: net.Socket, handler: PeerHandler): void {
+    if (this.incoming >= MAX_INCOMING) {
+      socket.destroy();
+      return;
+    }
+    this.incoming++;
+    const reader = new FrameReader();
+    let from = '';
+    const answer = async (m: { q?: number; op: string; a: unknown }) => {
+      let reply: PeerMessage | null = null;
+      try {
+        const value = await handler(m.op, m.a, from);
+        if (m.q !== undefined) reply = { r: m.q, a: value };
+      } catch (error) {
+        if (m.q !== undefined) reply = { r: m.q, e: error instanceof Error ? error.message : 'failed' };
+        else this.onError(error);
+      }
+      if (reply && !socket.destroyed && socket.writableLength < MAX_UNSENT_BYTES)
+        socket.write(encodeFrame(reply));
+    };
+    socket.on('data', (data) => {
+      try {
+        for (const m of reader.feed(data)) {
+          if ('op' in m && m.op === 'hello') from = String(m.a);
+          else if ('op' in m) void answer(m);
+        }
+      } catch (error) {
+        this.onError(error);
+        socket.destroy();
+      }
+    });
+    socket.on('error', () => socket.destroy());
+    socket.on('end', () => socket.destroy());
+    socket.on('close', () => {
+      this.incoming--;
+    });
+  }
+}
--- /dev/null
+++ b/src/shards/gossip.ts
@@ -0,0 +1,38 @@
+import * as v from 'valibot';
+
+/** What owners tell the leader about their shards. */
+const gossip = v.object({
+  shard: v.number(),
+  node: v.string(),
+  spares: v.array(
+    v.object({
+      id: v.string(),
+      type: v.string(),
+      zone: v.string(),
+      spot: v.boolean(),
+      images: v.array(v.string()),
+    }),
+  ),
+  needs: v.array(
+    v.object({
+      types: v.nullable(v.array(v.string())),
+      zone: v.nullable(v.string()),
+      spot: v.boolean(),
+      cpus: v.number(),
+      gpus: v.number(),
+      memoryGb: v.number(),
+      count: v.number(),
+      priority: v.number(),
+      deadline: v.number(),
+    }),
+  ),
+});
+
+export type Gossip = v.InferOutput<typeof gossip>;
+export type Need = Gossip['needs'][number];
+export type Spare = Gossip['spares'][number];
+
+export function readGossip(value: unknown): Gossip | null {
+  const p = v.safeParse(gossip, value);
+  return p.success ? p.output : null;
+}
--- /dev/null
+++ b/src/shards/keys.ts
@@ -0,0 +1,50 @@
+import * as v from 'valibot';
+
+/** The layout of the service's records in the state service. */
+export const KEYS = {
+  /** Everything that every node keeps a copy of. */
+  cluster: 'c/',
+  leader: 'c/lead',
+  node: (name: string) => `c/node/${name}`,
+  owner: (shard: number) => `c/own/${shard}`,
+  machines: 'c/m/',
+  machine: (id: string) => `c/m/${id}`,
+  teams: 'c/teams',
+  types: 'c/types',
+  job: (id: string) => `job/${id}`,
+  active: (shard: number) => `act/${shard}/`,
+  activeJob: (shard: number, id: string) => `act/${shard}/${id}`,
+  chunk: (shard: number, id: string, chunk: number) => `act/${shard}/${id}/${chunk}`,
+};
+
+const holder = v.object({ node: v.string(), run: v.string(), lease: v.number() });
+export type Holder = v.InferOutput<typeof holder>;
+
+export function readHolder(value: unknown): Holder | null {
+  const p = v.safeParse(holder, value);
+  return p.success ? p.output : null;
+}
+
+const machineRecord = v.object({
+  shard: v.number(),
+  addr: v.string(),
+  type: v.string(),
+  zone: v.string(),
+  spot: v.boolean(),
+  state: v.picklist(['use', 'leaving']),
+  rentedAt: v.number(),
+});
+/** Which shard a machine belongs to. A machine that is `leaving` is given back and never used again. */
+export type MachineRecord = v.InferOutput<typeof machineRecord>;
+
+export function readMachineRecord(value: unknown): MachineRecord | null {
+  const p = v.safeParse(machineRecord, value);
+  return p.success ? p.output : null;
+}
+
+const teamsRecord = v.record(v.string(), v.number());
+
+export function readTeams(value: unknown): Record<string, number> | null {
+  const p = v.safeParse(teamsRecord, value);
+  return p.success ? p.output : null;
+}
--- /dev/null
+++ b/src/shards/leader.ts
@@ -0,0 +1,296 @@
+import { fitCount } from '../plan/profile.js';
+import { StateFailure } from '../state/store.js';
+import type { ListedMachine } from '../wire/cloud.js';
+import type { Gossip, Need, Spare } from './gossip.js';
+import { KEYS, type MachineRecord, readTeams } from './keys.js';
+import type { Mirror } from './mirror.js';
+import type { World } from './world.js';
+
+/** What a machine that nobody has been given says of itself. */
+export interface Stray {
+  id: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  ageS: number;
+}
+
+const ACT_MS = 250;
+const GOSSIP_MS = 4000;
+const GIVEN_MS = 2500;
+/** A machine just rented is in the list before its owner has recorded it. */
+const STRAY_GRACE_MS = 8000;
+
+/**
+ * The leader's work: it parts teams and unassigned machines among the shards and moves empty machines to where tasks
+ * wait. What it decides is only ever a wish or a conditional write, so two leaders at once do no harm.
+ */
+export class Leader {
+  private readonly gossip = new Map<number, { at: number; told: Gossip }>();
+  private readonly strays = new Map<string, { stray: Stray; since: number; reported: boolean }>();
+  private readonly given = new Map<string, number>();
+  private stopped = false;
+  private dealing = false;
+
+  constructor(
+    private readonly world: World,
+    private readonly term: number,
+    private readonly mirror: Mirror,
+    private readonly valid: () => boolean,
+    private readonly giveAway: (shard: number, machine: string, to: number) => Promise<boolean>,
+  ) {}
+
+  start(): void {
+    this.world.log.info({ term: this.term }, 'leading');
+    this.loop();
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  hear(told: Gossip): void {
+    this.gossip.set(told.shard, { at: this.world.clock.now(), told });
+  }
+
+  /** A machine that no record names has reported. */
+  seen(stray: Stray): void {
+    const known = this.strays.get(stray.id);
+    if (known) known.reported = true;
+    else this.strays.set(stray.id, { stray, since: this.world.clock.now(), reported: true });
+  }
+
+  listed(machines: ListedMachine[]): void {
+    const now = this.world.clock.now();
+    const names = new Set(machines.map((m) => m.id));
+    for (const m of machines) {
+      if (m.state === 'failed' || this.mirror.entries.has(KEYS.machine(m.id)) || this.strays.has(m.id))
+        continue;
+      this.strays.set(m.id, { stray: { ...m }, since: now, reported: false });
+    }
+    for (const [id, s] of this.strays) if (!s.reported && !names.has(id)) this.strays.delete(id);
+  }
+
+  private loop(): void {
+    if (this.stopped) return;
+    if (this.valid() && this.mirror.ready) {
+      void this.partTeams();
+      void this.deal();
+      this.move();
+    }
+    this.world.clock.after(ACT_MS, () => this.loop());
+  }
+
+  private get shards(): number {
+    return this.world.settings.nodes;
+  }
+
+  // --- teams
+
+  private parting = false;
+
+  /** Teams stay in the shard that they were given; new ones go where the guarantees weigh least. */
+  private async partTeams(): Promise<void> {
+    const entry = this.mirror.entries.get(KEYS.teams);
+    const known = (entry && readTeams(entry.value)) ?? {};
+    const fresh = this.world.settings.teams.filter((t) => known[t.name] === undefined);
+    if ((entry && fresh.length === 0) || this.parting) return;
+    this.parting = true;
+    try {
+      const parted = partTeams(this.world.settings.teams, known, this.shards);
+      const result = await this.world.store.txn(
+        [
+          { key: KEYS.leader, version: this.term },
+          { key: KEYS.teams, version: entry?.version ?? 0 },
+        ],
+        [{ put: KEYS.teams, value: parted }],
+      );
+      if (result.ok) this.mirror.apply({ key: KEYS.teams, value: parted, version: result.revision });
+    } catch (error) {
+      this.world.log.info({ error: String(error) }, 'parting teams failed');
+    } finally {
+      this.parting = false;
+    }
+  }
+
+  // --- machines that nobody has
+
+  private async deal(): Promise<void> {
+    if (this.dealing) return;
+    const now = this.world.clock.now();
+    const due: Stray[] = [];
+    for (const [id, s] of this.strays) {
+      if (this.mirror.entries.has(KEYS.machine(id))) this.strays.delete(id);
+      else if (s.stray.ageS > 20 || now - s.since > STRAY_GRACE_MS) due.push(s.stray);
+    }
+    if (due.length === 0 || !this.mirror.entries.has(KEYS.teams)) return;
+    this.dealing = true;
+    try {
+      const part = due.slice(0, this.world.settings.stateLimits.txnOps);
+      const records = part.map((s): [string, MachineRecord] => [s.id, this.recordFor(s)]);
+      const result = await this.world.store.txn(
+        [
+          { key: KEYS.leader, version: this.term },
+          ...records.map(([id]) => ({ key: KEYS.machine(id), version: 0 })),
+        ],
+        records.map(([id, value]) => ({ put: KEYS.machine(id), value })),
+      );
+      if (result.ok) {
+        for (const [id, value] of records) {
+          this.mirror.apply({ key: KEYS.machine(id), value, version: result.revision });
+          this.strays.delete(id);
+        }
+      } else {
+        // One of them has a record that this copy does not show yet.
+        for (const [id] of records) if (result.failed.includes(KEYS.machine(id))) this.strays.delete(id);
+      }
+    } catch (error) {
+      this.dealtHere.clear();
+      if (!(error instanceof StateFailure)) throw error;
+      this.world.log.info({ error: String(error) }, 'dealing machines failed');
+    } finally {
+      this.dealtHere.clear();
+      this.dealing = false;
+    }
+  }
+
+  private readonly dealtHere = new Map<string, number>();
+
+  private recordFor(s: Stray): MachineRecord {
+    const shard = this.poorest(s);
+    const key = `${shard}/${s.type}/${s.zone}`;
+    this.dealtHere.set(key, (this.dealtHere.get(key) ?? 0) + 1);
+    return {
+      shard,
+      addr: s.addr,
+      type: s.type,
+      zone: s.zone,
+      spot: s.spot,
+      state: 'use',
+      rentedAt: Math.round(this.world.clock.wall() - s.ageS * 1000),
+    };
+  }
+
+  /** The shard with the fewest machines of this type for what its teams are guaranteed. */
+  private poorest(s: Stray): number {
+    const weights = this.weights();
+    const have = new Array<number>(this.shards).fill(0);
+    for (const [key, e] of this.mirror.entries) {
+      if (!key.startsWith(KEYS.machines)) continue;
+      const r = e.value as MachineRecord;
+      if (r.type === s.type && have[r.shard] !== undefined) have[r.shard]! += r.zone === s.zone ? 1.001 : 1;
+    }
+    for (const [key, n] of this.dealtHere) {
+      const [shard, type, zone] = key.split('/');
+      if (type === s.type) have[Number(shard)]! += zone === s.zone ? 1.001 * n : n;
+    }
+    let best = 0;
+    for (let i = 1; i < this.shards; i++) {
+      if ((have[i]! + 0.5) / weights[i]! < (have[best]! + 0.5) / weights[best]!) best = i;
+    }
+    return best;
+  }
+
+  private weights(): number[] {
+    const weights = new Array<number>(this.shards).fill(0.01);
+    const parted = readTeams(this.mirror.entries.get(KEYS.teams)?.value) ?? {};
+    for (const t of this.world.settings.teams) {
+      const shard = parted[t.name];
+      if (shard !== undefined && weights[shard] !== undefined) weights[shard]! += t.cpus + 10 * t.gpus + 1;
+    }
+    return weights;
+  }
+
+  // --- moving empty machines
+
+  private move(): void {
+    const now = this.world.clock.now();
+    for (const [id, at] of this.given) if (now - at > GIVEN_MS) this.given.delete(id);
+    const fresh = [...this.gossip.values()].filter((g) => now - g.at < GOSSIP_MS).map((g) => g.told);
+    for (const m of matchSpares(fresh, (type) =>
+      this.world.catalog.size(this.world.names.types.index(type)),
+    )) {
+      if (this.given.has(m.machine)) continue;
+      this.given.set(m.machine, now);
+      void this.giveAway(m.from, m.machine, m.to).catch(() => undefined);
+    }
+  }
+}
+
+export interface Move {
+  machine: string;
+  from: number;
+  to: number;
+}
+
+/** Which empty machines go to which shard: the most urgent and then earliest due need first. */
+export function matchSpares(
+  told: readonly Gossip[],
+  sizeOf: (type: string) => { cpus: number; gpus: number; memoryGb: number },
+): Move[] {
+  const needs: { shard: number; need: Need }[] = told.flatMap((g) =>
+    g.needs.map((need) => ({ shard: g.shard, need })),
+  );
+  needs.sort((a, b) => b.need.priority - a.need.priority || a.need.deadline - b.need.deadline);
+  const spares: { shard: number; spare: Spare }[] = told.flatMap((g) =>
+    g.spares.map((spare) => ({ shard: g.shard, spare })),
+  );
+  const moves: Move[] = [];
+  const taken = new Set<string>();
+  for (const { shard, need } of needs) {
+    let left = need.count;
+    const fitting = spares
+      .filter(
+        (s) =>
+          !taken.has(s.spare.id) && spareFits(s.spare, need) && fitCount(sizeOf(s.spare.type), need, 1) > 0,
+      )
+      // Its own first: it is already where the tasks are. Machines with GPUs last for tasks that need none.
+      .sort(
+        (a, b) =>
+          Number(b.shard === shard) - Number(a.shard === shard) ||
+          waste(a.spare, need, sizeOf) - waste(b.spare, need, sizeOf),
+      );
+    for (const s of fitting) {
+      if (left <= 0) break;
+      taken.add(s.spare.id);
+      left -= fitCount(sizeOf(s.spare.type), need, left);
+      if (s.shard !== shard) moves.push({ machine: s.spare.id, from: s.shard, to: shard });
+    }
+  }
+  return moves;
+}
+
+function waste(s: Spare, need: Need, sizeOf: (type: string) => { gpus: number }): number {
+  return need.gpus === 0 ? sizeOf(s.type).gpus : 0;
+}
+
+function spareFits(s: Spare, need: Need): boolean {
+  return (
+    (!need.types || need.types.includes(s.type)) &&
+    (need.zone === null || need.zone === s.zone) &&
+    (need.spot || !s.spot)
+  );
+}
+
+/** Spreads teams over the shards by their guarantees, the largest first. */
+export function partTeams(
+  teams: readonly { name: string; cpus: number; gpus: number }[],
+  known: Record<string, number>,
+  shards: number,
+): Record<string, number> {
+  const out: Record<string, number> = { ...known };
+  const weight = (t: { cpus: number; gpus: number }) => t.cpus + 10 * t.gpus + 1;
+  const load = new Array<number>(shards).fill(0);
+  for (const t of teams) {
+    const s = out[t.name];
+    if (s !== undefined && load[s] !== undefined) load[s]! += weight(t);
+  }
+  for (const t of [...teams].sort((a, b) => weight(b) - weight(a))) {
+    if (out[t.name] !== undefined) continue;
+    const least = load.indexOf(Math.min(...load));
+    out[t.name] = least;
+    load[least]! += weight(t);
+  }
+  return out;
+}
--- /dev/null
+++ b/src/shards/members.ts
@@ -0,0 +1,145 @@
+import { type Clock, DRIFT, pause } from '../clock/clock.js';
+import type { Log } from '../config/log.js';
+import { StateFailure, type StateStore } from '../state/store.js';
+import { type Holder, KEYS, readHolder } from './keys.js';
+import { Mirror } from './mirror.js';
+
+export const LEASE_MS = 8000;
+const RENEW_MS = 2000;
+const RETRY_MS = 400;
+const MARGIN_MS = 150;
+
+/**
+ * This node's lease in the state service and what hangs on it: its presence, the shards it owns and, for one node,
+ * the leadership.
+ */
+export class Members {
+  readonly mirror: Mirror;
+  private lease: number | null = null;
+  private validUntil = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly store: StateStore,
+    private readonly node: string,
+    private readonly run: string,
+    private readonly log: Log,
+    onChange: Mirror['entries'] extends Map<string, infer E> ? (key: string, entry: E | null) => void : never,
+    private readonly onLost: () => void,
+  ) {
+    this.mirror = new Mirror(clock, store, KEYS.cluster, log, onChange);
+  }
+
+  /** True while the lease surely lasts, counted from when its renewal was sent. */
+  get valid(): boolean {
+    return this.lease !== null && this.clock.now() < this.validUntil;
+  }
+
+  get holder(): Holder {
+    return { node: this.node, run: this.run, lease: this.lease ?? 0 };
+  }
+
+  owner(shard: number): Holder | null {
+    const e = this.mirror.entries.get(KEYS.owner(shard));
+    return e ? readHolder(e.value) : null;
+  }
+
+  leader(): string | null {
+    const e = this.mirror.entries.get(KEYS.leader);
+    return (e && readHolder(e.value)?.node) ?? null;
+  }
+
+  present(node: string): boolean {
+    return this.mirror.entries.has(KEYS.node(node));
+  }
+
+  async start(): Promise<void> {
+    void this.mirror.run();
+    for (;;) {
+      try {
+        await this.endFormerRun();
+        await this.join();
+        break;
+      } catch (error) {
+        this.log.info({ error: String(error) }, 'joining failed');
+        await pause(this.clock, RETRY_MS);
+      }
+    }
+    void this.keep();
+  }
+
+  /** A run of this node before this one is dead: its lease need not be waited out. */
+  private async endFormerRun(): Promise<void> {
+    const former = await this.store.get(KEYS.node(this.node));
+    const holder = former && readHolder(former.value);
+    if (holder && holder.run !== this.run) await this.store.revoke(holder.lease);
+  }
+
+  private async join(): Promise<void> {
+    const sent = this.clock.now();
+    const lease = await this.store.grant(LEASE_MS);
+    await this.store.txn([], [{ put: KEYS.node(this.node), value: { ...this.holder, lease }, lease }], true);
+    this.lease = lease;
+    this.extend(sent);
+  }
+
+  private extend(sent: number): void {
+    this.validUntil = Math.max(this.validUntil, sent + LEASE_MS * (1 - 2 * DRIFT) - MARGIN_MS);
+  }
+
+  private async keep(): Promise<never> {
+    let wait = RENEW_MS;
+    for (;;) {
+      await pause(this.clock, wait);
+      wait = RETRY_MS;
+      try {
+        if (this.lease === null) {
+          await this.join();
+          wait = RENEW_MS;
+          continue;
+        }
+        const sent = this.clock.now();
+        if (await this.store.renew(this.lease, 1500)) {
+          this.extend(sent);
+          wait = RENEW_MS;
+        } else {
+          this.log.info('lease lost');
+          this.lease = null;
+          this.validUntil = Number.NEGATIVE_INFINITY;
+          this.onLost();
+          wait = 0;
+        }
+      } catch (error) {
+        this.log.debug({ error: String(error) }, 'renewal failed');
+      }
+    }
+  }
+
+  /** Tries to take a key that nobody holds; returns its version, the term, when this node has it. */
+  async claim(key: string): Promise<number | null> {
+    if (!this.valid || this.lease === null) return null;
+    const lease = this.lease;
+    try {
+      const result = await this.store.txn([{ key, version: 0 }], [{ put: key, value: this.holder, lease }]);
+      if (result.ok) {
+        this.mirror.apply({ key, value: { ...this.holder, lease }, version: result.revision });
+        return result.revision;
+      }
+      if (!result.failed.includes(key)) return null;
+    } catch (error) {
+      if (!(error instanceof StateFailure) || !error.maybe) {
+        this.log.debug({ key, error: String(error) }, 'claim failed');
+        return null;
+      }
+    }
+    try {
+      const e = await this.store.get(key);
+      const holder = e && readHolder(e.value);
+      if (!e || !holder) return null;
+      this.mirror.apply(e);
+      return holder.run === this.run && holder.lease === this.lease ? e.version : null;
+    } catch {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/shards/mirror.ts
@@ -0,0 +1,74 @@
+import { type Clock, pause } from '../clock/clock.js';
+import type { Log } from '../config/log.js';
+import type { StateStore } from '../state/store.js';
+import type { Entry } from '../wire/state.js';
+
+const WAIT_MS = 10_000;
+const RETRY_MS = 300;
+
+/**
+ * A copy of the keys under a prefix. It lags behind the state service, so it serves as a hint: whatever safety
+ * depends on is a condition of a transaction.
+ */
+export class Mirror {
+  readonly entries = new Map<string, Entry>();
+  ready = false;
+  private revision = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly store: StateStore,
+    private readonly prefix: string,
+    private readonly log: Log,
+    private readonly onChange: (key: string, entry: Entry | null) => void,
+  ) {}
+
+  async run(): Promise<never> {
+    for (;;) {
+      try {
+        if (!this.ready) await this.load();
+        const result = await this.store.watch(this.prefix, this.revision, WAIT_MS);
+        if (!result) {
+          this.ready = false;
+          continue;
+        }
+        for (const c of result.changes) {
+          if ('gone' in c) this.remove(c.key, c.version);
+          else this.apply({ key: c.key, value: c.value, version: c.version });
+        }
+        this.revision = Math.max(this.revision, result.revision);
+      } catch (error) {
+        this.log.debug({ error: String(error) }, 'watch failed');
+        await pause(this.clock, RETRY_MS);
+      }
+    }
+  }
+
+  /** Takes a change that this node made itself, before the watch tells it. */
+  apply(entry: Entry): void {
+    const before = this.entries.get(entry.key);
+    if (before && before.version >= entry.version) return;
+    this.entries.set(entry.key, entry);
+    this.onChange(entry.key, entry);
+  }
+
+  remove(key: string, version: number): void {
+    const before = this.entries.get(key);
+    if (!before || before.version > version) return;
+    this.entries.delete(key);
+    this.onChange(key, null);
+  }
+
+  private async load(): Promise<void> {
+    const { entries, revision } = await this.store.list(this.prefix);
+    const seen = new Set<string>();
+    for (const e of entries) {
+      seen.add(e.key);
+      this.apply(e);
+    }
+    for (const [key, e] of this.entries)
+      if (!seen.has(key) && e.version <= revision) this.remove(key, revision);
+    this.revision = revision;
+    this.ready = true;
+  }
+}
--- /dev/null
+++ b/src/shards/node.ts
@@ -0,0 +1,444 @@
+import { pause } from '../clock/clock.js';
+import type { JobEntry } from '../jobs/job.js';
+import { readJobEntry, readSpec } from '../jobs/records.js';
+import type { Mesh } from '../peer/mesh.js';
+import type { Entry } from '../wire/state.js';
+import type { JobSpec } from '../wire/users.js';
+import type { Report } from '../wire/workers.js';
+import { readGossip } from './gossip.js';
+import { KEYS, readHolder, readMachineRecord, readTeams } from './keys.js';
+import { Leader, type Stray } from './leader.js';
+import { Members } from './members.js';
+import { Shard, type StatusAnswer, type SubmitAnswer, Unavailable } from './shard.js';
+import type { World } from './world.js';
+
+export type ReportAnswer =
+  | { kind: 'orders'; body: object }
+  | { kind: 'redirect'; node: string | null }
+  | { kind: 'busy' };
+
+const CLAIM_MS = 200;
+const GOSSIP_MS = 500;
+const LIST_MS = 5000;
+const TYPES_MS = 30_000;
+const ASK_MS = 3500;
+/** How long a shard stays its dead home node's to take again. */
+const ADOPT_AFTER_MS = 1500;
+const HAND_BACK_AFTER_MS = 6000;
+const ROUTES_KEPT = 20_000;
+
+/** One controller: the shards it owns, the leadership when it has it, and the way to everybody else's. */
+export class ControllerNode {
+  readonly members: Members;
+  private readonly shards = new Map<number, Shard>();
+  private readonly order: string[];
+  private readonly ownerGoneSince = new Map<string, number>();
+  private readonly homeSince = new Map<number, number>();
+  private readonly claiming = new Set<string>();
+  private readonly routes = new Map<string, JobEntry>();
+  private leader: Leader | null = null;
+  private mesh: Mesh | null = null;
+
+  constructor(private readonly world: World) {
+    const s = world.settings;
+    this.order = [s.node, ...s.peers.map((p) => p.node)].sort();
+    this.members = new Members(
+      world.clock,
+      world.store,
+      s.node,
+      world.run,
+      world.log,
+      (key, entry) => this.changed(key, entry),
+      () => this.dropAll(),
+    );
+  }
+
+  async start(mesh: Mesh): Promise<void> {
+    this.mesh = mesh;
+    void this.keepTypes();
+    void this.keepList();
+    this.gossipLoop();
+    await this.members.start();
+    this.claimLoop();
+  }
+
+  get healthy(): boolean {
+    return this.members.mirror.ready && this.world.catalog.known;
+  }
+
+  // --- ownership
+
+  private changed(key: string, entry: Entry | null): void {
+    if (key.startsWith(KEYS.machines)) {
+      const id = key.slice(KEYS.machines.length);
+      for (const shard of this.shards.values()) shard.machineRecord(id, entry);
+    }
+  }
+
+  private dropAll(): void {
+    for (const shard of this.shards.values()) shard.stop();
+    this.shards.clear();
+    this.leader?.stop();
+    this.leader = null;
+  }
+
+  private drop(shard: Shard): void {
+    shard.stop();
+    if (this.shards.get(shard.index) === shard) this.shards.delete(shard.index);
+  }
+
+  private claimLoop(): void {
+    if (this.members.valid && this.members.mirror.ready) {
+      for (let k = 0; k < this.world.settings.nodes; k++) this.consider(k);
+      this.considerLeading();
+    }
+    this.world.clock.after(CLAIM_MS, () => this.claimLoop());
+  }
+
+  private home(shard: number): string {
+    return this.order[shard % this.order.length]!;
+  }
+
+  /** How long this node waits before it takes a key that nobody holds: first the home node, then the others in turn. */
+  private patience(shard: number): number {
+    const n = this.order.length;
+    const rank = (this.order.indexOf(this.world.settings.node) - (shard % n) + n) % n;
+    return rank === 0 ? 0 : ADOPT_AFTER_MS * rank;
+  }
+
+  private consider(k: number): void {
+    const key = KEYS.owner(k);
+    const entry = this.members.mirror.entries.get(key);
+    const mine = this.shards.get(k);
+    const now = this.world.clock.now();
+    if (entry) {
+      this.ownerGoneSince.delete(key);
+      const holder = readHolder(entry.value);
+      const here = holder?.run === this.world.run;
+      if (mine && (!here || mine.term !== entry.version)) {
+        // Somebody else's, or a newer term of this node's.
+        if (entry.version > mine.term) this.drop(mine);
+      }
+      // A claim that was thought lost has been made after all.
+      if (here && !this.shards.has(k) && !this.claiming.has(key)) this.take(k, entry.version);
+      if (here && this.shards.has(k)) this.considerHandBack(k);
+      return;
+    }
+    if (mine) {
+      this.drop(mine);
+      return;
+    }
+    const since = this.ownerGoneSince.get(key) ?? now;
+    this.ownerGoneSince.set(key, since);
+    if (now - since < this.patience(k) || this.claiming.has(key)) return;
+    this.claiming.add(key);
+    void this.members
+      .claim(key)
+      .then((term) => {
+        if (term !== null && !this.shards.has(k)) this.take(k, term);
+      })
+      .finally(() => this.claiming.delete(key));
+  }
+
+  private take(k: number, term: number): void {
+    const shard: Shard = new Shard(
+      this.world,
+      k,
+      term,
+      () => this.members.valid,
+      () => this.drop(shard),
+    );
+    this.shards.set(k, shard);
+    void shard.start();
+  }
+
+  /** A shard taken over goes back when its home node has been up for a while. */
+  private considerHandBack(k: number): void {
+    const home = this.home(k);
+    const now = this.world.clock.now();
+    if (home === this.world.settings.node || !this.members.present(home)) {
+      this.homeSince.delete(k);
+      return;
+    }
+    const since = this.homeSince.get(k) ?? now;
+    this.homeSince.set(k, since);
+    if (now - since < HAND_BACK_AFTER_MS) return;
+    const shard = this.shards.get(k)!;
+    if (!shard.ready) return;
+    this.homeSince.delete(k);
+    this.world.log.info({ shard: k, to: home }, 'handing back');
+    this.drop(shard);
+    const key = KEYS.owner(k);
+    void this.world.store
+      .txn([{ key, version: shard.term }], [{ delete: key }])
+      .then((r) => {
+        if (r.ok) this.members.mirror.remove(key, r.revision);
+      })
+      .catch((error) => this.world.log.info({ error: String(error) }, 'handing back failed'));
+  }
+
+  private considerLeading(): void {
+    const key = KEYS.leader;
+    const entry = this.members.mirror.entries.get(key);
+    const now = this.world.clock.now();
+    if (entry) {
+      this.ownerGoneSince.delete(key);
+      const here = readHolder(entry.value)?.run === this.world.run;
+      if (!here && this.leader) {
+        this.leader.stop();
+        this.leader = null;
+      }
+      if (here && !this.leader) this.lead(entry.version);
+      return;
+    }
+    if (this.leader) {
+      this.leader.stop();
+      this.leader = null;
+    }
+    const since = this.ownerGoneSince.get(key) ?? now;
+    this.ownerGoneSince.set(key, since);
+    if (now - since < 300 * this.order.indexOf(this.world.settings.node) || this.claiming.has(key)) return;
+    this.claiming.add(key);
+    void this.members
+      .claim(key)
+      .then((term) => {
+        if (term !== null && !this.leader) this.lead(term);
+      })
+      .finally(() => this.claiming.delete(key));
+  }
+
+  private lead(term: number): void {
+    this.leader = new Leader(
+      this.world,
+      term,
+      this.members.mirror,
+      () => this.members.valid,
+      (shard, machine, to) => this.giveAway(shard, machine, to),
+    );
+    this.leader.start();
+  }
+
+  // --- what the cloud tells
+
+  private async keepTypes(): Promise<never> {
+    for (;;) {
+      try {
+        this.world.catalog.set(await this.world.cloud.types());
+        for (const s of this.shards.values()) s.stir();
+        void this.storeTypes();
+        await pause(this.world.clock, TYPES_MS);
+      } catch (error) {
+        this.world.log.debug({ error: String(error) }, 'machine types not read');
+        this.recallTypes();
+        await pause(this.world.clock, 1500);
+      }
+    }
+  }
+
+  /** A node that starts while the cloud does not answer decides by what the cloud last said. */
+  private recallTypes(): void {
+    if (this.world.catalog.known) return;
+    const stored = this.members.mirror.entries.get(KEYS.types);
+    if (stored && Array.isArray(stored.value)) this.world.catalog.set(stored.value);
+  }
+
+  private async storeTypes(): Promise<void> {
+    if (!this.leader) return;
+    const types = this.world.catalog.all().map(([, t]) => t);
+    const stored = this.members.mirror.entries.get(KEYS.types);
+    if (stored || JSON.stringify(types).length > this.world.settings.stateLimits.valueKb * 1000) return;
+    try {
+      await this.world.store.txn([{ key: KEYS.types, version: 0 }], [{ put: KEYS.types, value: types }]);
+    } catch (error) {
+      this.world.log.debug({ error: String(error) }, 'machine types not stored');
+    }
+  }
+
+  private async keepList(): Promise<never> {
+    for (;;) {
+      try {
+        this.world.catalog.listed = await this.world.cloud.list();
+        this.world.catalog.listedAt = this.world.clock.now();
+        for (const s of this.shards.values()) s.listed();
+        this.leader?.listed(this.world.catalog.listed);
+      } catch (error) {
+        this.world.log.debug({ error: String(error) }, 'machine list not read');
+      }
+      await pause(this.world.clock, LIST_MS);
+    }
+  }
+
+  // --- between the nodes
+
+  private gossipLoop(): void {
+    const leader = this.members.leader();
+    for (const s of this.shards.values()) {
+      if (!s.ready) continue;
+      const told = s.gossip(this.world.settings.node);
+      if (this.leader) this.leader.hear(told);
+      else if (leader) this.mesh?.tell(leader, 'gossip', told);
+    }
+    this.world.clock.after(GOSSIP_MS, () => this.gossipLoop());
+  }
+
+  private async giveAway(shard: number, machine: string, to: number): Promise<boolean> {
+    const local = this.shards.get(shard);
+    if (local) return local.give(machine, to);
+    const owner = this.members.owner(shard);
+    if (!owner) return false;
+    return (await this.mesh?.ask(owner.node, 'give', { shard, machine, to }, ASK_MS)) === true;
+  }
+
+  /** What another controller asks. */
+  async serve(op: string, args: unknown): Promise<unknown> {
+    const a = (typeof args === 'object' && args !== null ? args : {}) as Record<string, unknown>;
+    switch (op) {
+      case 'gossip': {
+        const told = readGossip(args);
+        if (told) this.leader?.hear(told);
+        return null;
+      }
+      case 'stray':
+        this.leader?.seen(a as unknown as Stray);
+        return null;
+      case 'give': {
+        const shard = this.shards.get(Number(a.shard));
+        return shard ? shard.give(String(a.machine), Number(a.to)) : false;
+      }
+      case 'submit': {
+        const spec = readSpec(a.spec);
+        if (!spec) throw new Error('bad job');
+        return this.local(a.shard).submit(spec);
+      }
+      case 'status':
+        return this.local(a.shard).status(String(a.id));
+      case 'cancel':
+        return this.local(a.shard).cancel(String(a.id));
+      default:
+        throw new Error(`unknown request ${op}`);
+    }
+  }
+
+  private local(shard: unknown): Shard {
+    const s = this.shards.get(Number(shard));
+    if (!s) throw new Unavailable('not the owner');
+    return s;
+  }
+
+  /** Puts a question to a shard's owner, wherever it is. */
+  private async ask<T>(shard: number, op: string, args: object, here: (s: Shard) => Promise<T>): Promise<T> {
+    const local = this.shards.get(shard);
+    if (local) return here(local);
+    const owner = this.members.owner(shard);
+    if (!owner || owner.node === this.world.settings.node || !this.mesh)
+      throw new Unavailable('no owner at present');
+    try {
+      return (await this.mesh.ask(owner.node, op, { shard, ...args }, ASK_MS)) as T;
+    } catch (error) {
+      throw new Unavailable(error instanceof Error ? error.message : 'owner does not answer');
+    }
+  }
+
+  // --- users
+
+  /** The shard of a job that is submitted; null while teams have not been parted. */
+  shardOf(spec: JobSpec): number | null {
+    if (this.world.settings.teams.length === 0) return hash(spec.id) % this.world.settings.nodes;
+    const entry = this.members.mirror.entries.get(KEYS.teams);
+    return (entry && readTeams(entry.value)?.[spec.team]) ?? null;
+  }
+
+  private remember(id: string, entry: JobEntry): void {
+    this.routes.set(id, entry);
+    if (this.routes.size > ROUTES_KEPT) this.routes.delete(this.routes.keys().next().value!);
+  }
+
+  /** Where a job is, or how it ended; null only when the state service has never heard of it. */
+  async locate(id: string): Promise<JobEntry | null> {
+    const known = this.routes.get(id);
+    if (known) return known;
+    const stored = await this.world.store.get(KEYS.job(id));
+    const entry = stored && readJobEntry(stored.value);
+    if (stored && !entry) throw new Unavailable('unreadable record');
+    if (entry) this.remember(id, entry);
+    return entry;
+  }
+
+  async submit(spec: JobSpec): Promise<SubmitAnswer> {
+    const known = this.routes.get(spec.id);
+    if (known?.final) return { kind: 'known', status: known.final };
+    const shard = known?.shard ?? this.shardOf(spec);
+    if (shard === null) throw new Unavailable('teams are not parted yet');
+    const answer = await this.ask<SubmitAnswer>(shard, 'submit', { spec }, (s) => s.submit(spec));
+    if (answer.kind === 'accepted') this.remember(spec.id, { shard });
+    return answer;
+  }
+
+  async status(id: string): Promise<StatusAnswer | null> {
+    const entry = await this.locate(id);
+    if (!entry) return null;
+    if (entry.final) {
+      return { status: entry.final, done: entry.final === 'done' ? (entry.tasks ?? 0) : 0, running: 0 };
+    }
+    const answer = await this.ask(entry.shard, 'status', { id }, (s) => s.status(id));
+    if (!answer) {
+      // Over, and the owner has forgotten it: the state service knows.
+      this.routes.delete(id);
+      const again = await this.locate(id);
+      if (!again?.final) throw new Unavailable('between two owners');
+      return { status: again.final, done: again.final === 'done' ? (again.tasks ?? 0) : 0, running: 0 };
+    }
+    if (answer.status === 'done' || answer.status === 'cancelled') {
+      this.remember(id, { shard: entry.shard, final: answer.status, tasks: answer.done });
+    }
+    return answer;
+  }
+
+  async cancel(id: string): Promise<'done' | 'cancelled' | null> {
+    const entry = await this.locate(id);
+    if (!entry) return null;
+    if (entry.final) return entry.final;
+    const answer = await this.ask(entry.shard, 'cancel', { id }, (s) => s.cancel(id));
+    if (answer === null) {
+      this.routes.delete(id);
+      const again = await this.locate(id);
+      if (!again?.final) throw new Unavailable('between two owners');
+      return again.final;
+    }
+    this.remember(id, { shard: entry.shard, final: answer, tasks: entry.tasks });
+    return answer;
+  }
+
+  // --- workers
+
+  report(r: Report): ReportAnswer {
+    const entry = this.members.mirror.entries.get(KEYS.machine(r.machine));
+    const record = entry && readMachineRecord(entry.value);
+    for (const s of this.shards.values()) {
+      const m = s.fleet.machines.get(r.machine);
+      if (!m) continue;
+      const body = s.report(m, r);
+      return body ? { kind: 'orders', body } : { kind: 'busy' };
+    }
+    if (!record) {
+      this.stray(r);
+      return { kind: 'busy' };
+    }
+    const owner = this.members.owner(record.shard);
+    if (!owner || owner.node === this.world.settings.node) return { kind: 'busy' };
+    return { kind: 'redirect', node: owner.node };
+  }
+
+  private stray(r: Report): void {
+    const stray: Stray = { id: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot, ageS: 0 };
+    const leader = this.members.leader();
+    if (this.leader) this.leader.seen(stray);
+    else if (leader) this.mesh?.tell(leader, 'stray', stray);
+  }
+}
+
+function hash(text: string): number {
+  let h = 2166136261;
+  for (let i = 0; i < text.length; i++) h = Math.imul(h ^ text.charCodeAt(i), 16777619) >>> 0;
+  return h;
+}
--- /dev/null
+++ b/src/shards/shard.ts
@@ -0,0 +1,1298 @@
+import { Mutex } from 'async-mutex';
+import type { Log } from '../config/log.js';
+import { type Job, type JobEntry, jobStatus, makeJob, openCount, openTasks } from '../jobs/job.js';
+import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
+import { type HeldBooking, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
+import { type Amounts, fitCount } from '../plan/profile.js';
+import { chooseRental, type RentOption, type Shortage } from '../plan/rent.js';
+import { StateFailure } from '../state/store.js';
+import type { Condition, Entry } from '../wire/state.js';
+import type { JobSpec, JobStatus } from '../wire/users.js';
+import type { Report } from '../wire/workers.js';
+import { Fleet, type StartOrder } from '../workers/fleet.js';
+import { type Held, type Machine, noteImage } from '../workers/machine.js';
+import type { Gossip } from './gossip.js';
+import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
+import type { World } from './world.js';
+
+/** This node cannot answer now; the same request may be sent again. */
+export class Unavailable extends Error {}
+
+export interface StatusAnswer {
+  status: JobStatus;
+  done: number;
+  running: number;
+}
+
+export type SubmitAnswer =
+  | { kind: 'accepted' }
+  | { kind: 'known'; status: JobStatus }
+  | { kind: 'refused'; retryS: number };
+
+interface Ended {
+  status: 'done' | 'cancelled';
+  tasks: number;
+  team: number;
+  need: Amounts;
+}
+
+interface PendingRental {
+  option: RentOption;
+  count: number;
+  at: number;
+}
+
+/** A job without a deadline gets one at so many times the finish that the plans allow. */
+const DEFAULT_SLACK = 1.5;
+const TICK_MS = 1000;
+const STIR_MS = 30;
+const ENDED_KEPT = 5000;
+/** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
+const RENT_AFTER_MS = 900;
+const IDLE_KEEP_MS = 90_000;
+const NO_CAPACITY_MS = 20_000;
+const SILENT_RETURN_MS = 120_000;
+const ATTEMPTS_PER_TERM = 2 ** 20;
+const MAX_PENDING_RENTALS = 12;
+
+/** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
+export class Shard {
+  readonly fleet: Fleet;
+  readonly jobs = new Map<string, Job>();
+  private readonly ended = new Map<string, Ended>();
+  private readonly records: JobRecords;
+  private readonly mutexes = new Map<string, Mutex>();
+  private readonly log: Log;
+  private readonly claimedAt: number;
+  private loaded = false;
+  private stopped = false;
+  private order = 0;
+  private attempts = 0;
+  private stirred = false;
+  private ticking = false;
+  private shortSince = new Map<string, number>();
+  private needs: Gossip['needs'] = [];
+  private booked = new Set<string>();
+  private readonly blocked = new Map<string, number>();
+  private readonly rentals = new Set<PendingRental>();
+  private readonly ratios = new Map<string, { log: number; count: number }>();
+  private readonly moving = new Set<string>();
+
+  constructor(
+    private readonly world: World,
+    readonly index: number,
+    readonly term: number,
+    private readonly entitledNow: () => boolean,
+    private readonly onLost: () => void,
+  ) {
+    this.log = world.log.child({ shard: index, term });
+    this.claimedAt = world.clock.now();
+    this.records = new JobRecords(world.store, index, term, world.settings.stateLimits);
+    this.fleet = new Fleet(world.clock, world.http, world.settings.workers.leaseS, this.log, {
+      entitled: () => this.entitled,
+      renewRecord: (m) => this.renewRecord(m),
+      found: (h) => this.found(h),
+      changed: (h) => this.changed(h),
+      gone: (h) => this.gone(h),
+      stir: () => this.stir(),
+    });
+  }
+
+  get entitled(): boolean {
+    return !this.stopped && this.entitledNow();
+  }
+
+  get ready(): boolean {
+    return this.loaded && this.entitled;
+  }
+
+  private get owned(): Condition {
+    return { key: KEYS.owner(this.index), version: this.term };
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.fleet.stop();
+  }
+
+  /** Loads what the state service has of the shard; tried again until it works or the shard is lost. */
+  async start(): Promise<void> {
+    while (!this.stopped) {
+      try {
+        const [jobs, machines] = await Promise.all([
+          this.records.load(),
+          this.world.store.list(KEYS.machines),
+        ]);
+        if (this.stopped) return;
+        for (const l of jobs) this.adopt(l);
+        for (const e of machines.entries) this.machineRecord(e.key.slice(KEYS.machines.length), e);
+        for (const m of this.fleet.machines.values()) {
+          m.unknown = true;
+          m.answeredAt = this.claimedAt;
+        }
+        this.loaded = true;
+        this.log.info({ jobs: jobs.length, machines: this.fleet.machines.size }, 'shard taken');
+        for (const m of this.fleet.machines.values()) void this.fleet.contact(m, null);
+        this.loop();
+        return;
+      } catch (error) {
+        this.log.debug({ error: String(error) }, 'loading the shard failed');
+        await this.pause(300);
+      }
+    }
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.world.clock.after(ms, resolve);
+    });
+  }
+
+  private loop(): void {
+    if (this.stopped) return;
+    this.tick();
+    this.world.clock.after(TICK_MS, () => this.loop());
+  }
+
+  /** Plans again soon; many changes at once make one plan. */
+  stir(): void {
+    if (this.stirred || this.stopped) return;
+    this.stirred = true;
+    this.world.clock.after(STIR_MS, () => {
+      this.stirred = false;
+      this.tick();
+    });
+  }
+
+  // --- records of machines
+
+  /** The record of a machine as the state service has it. */
+  machineRecord(id: string, entry: Entry | null): void {
+    const m = this.fleet.machines.get(id);
+    const r = entry && readMachineRecord(entry.value);
+    if (!entry || !r || r.shard !== this.index) {
+      if (m && (!entry || entry.version > m.version)) this.fleet.remove(m);
+      return;
+    }
+    if (m) {
+      if (entry.version > m.version) {
+        m.version = entry.version;
+        m.leaving = r.state === 'leaving';
+        if (entry.version > m.token) {
+          m.token = entry.version;
+          m.synced = false;
+        }
+      }
+      return;
+    }
+    this.addMachine(id, r, entry.version);
+  }
+
+  private addMachine(id: string, r: MachineRecord, version: number): void {
+    const now = this.world.clock.now();
+    const listed = this.world.catalog.listed.find((l) => l.id === id);
+    this.fleet.machines.set(id, {
+      id,
+      addr: r.addr || listed?.addr || '',
+      type: this.world.names.types.index(r.type),
+      zone: this.world.names.zones.index(r.zone),
+      spot: r.spot,
+      leaving: r.state === 'leaving',
+      version,
+      token: Math.max(this.term, version),
+      session: 0,
+      seq: -1,
+      minSession: 0,
+      synced: false,
+      unknown: false,
+      answeredAt: now,
+      heardAt: null,
+      lost: false,
+      rentedAt: now - Math.max(0, this.world.clock.wall() - r.rentedAt),
+      noticeUntil: null,
+      held: new Map(),
+      images: new Map(),
+      idleSince: now,
+      unreachableAt: null,
+      errors: 0,
+      closedUntil: 0,
+      speed: { sum: 0, count: 0 },
+    });
+    const m = this.fleet.machines.get(id)!;
+    if (this.loaded) void this.fleet.contact(m, null);
+    this.stir();
+  }
+
+  private record(m: Machine, change: Partial<MachineRecord> = {}): MachineRecord {
+    const now = this.world.clock.now();
+    return {
+      shard: this.index,
+      addr: m.addr,
+      type: this.world.names.types.name(m.type),
+      zone: this.world.names.zones.name(m.zone),
+      spot: m.spot,
+      state: m.leaving ? 'leaving' : 'use',
+      rentedAt: Math.round(this.world.clock.wall() - (now - m.rentedAt)),
+      ...change,
+    };
+  }
+
+  /** Writes a machine's record; returns its new version. */
+  private async writeRecord(m: Machine, change: Partial<MachineRecord> = {}): Promise<number> {
+    const key = KEYS.machine(m.id);
+    const value = this.record(m, change);
+    try {
+      const result = await this.world.store.txn(
+        [this.owned, { key, version: m.version }],
+        [{ put: key, value }],
+      );
+      if (result.ok) return result.revision;
+      if (result.failed.includes(this.owned.key)) throw this.lostOwnership();
+    } catch (error) {
+      if (!(error instanceof StateFailure) || !error.maybe) throw error;
+    }
+    // Another copy of this write, thought lost, may have been made: the record tells.
+    const stored = await this.world.store.get(key);
+    const r = stored && readMachineRecord(stored.value);
+    if (stored && r && stored.version > m.version && JSON.stringify(r) === JSON.stringify(value))
+      return stored.version;
+    if (stored && r?.shard === this.index) m.version = stored.version;
+    throw new StateFailure(`record of ${m.id} is not decided`, true);
+  }
+
+  private async renewRecord(m: Machine): Promise<number> {
+    return this.writeRecord(m);
+  }
+
+  private lostOwnership(): Error {
+    this.stop();
+    this.onLost();
+    return new NotOwner();
+  }
+
+  /** Gives an empty machine to another shard. False when it is not to be had. */
+  async give(id: string, to: number): Promise<boolean> {
+    const m = this.fleet.machines.get(id);
+    if (!m || !this.ready || !this.isSpare(m) || this.moving.has(id)) return false;
+    this.moving.add(id);
+    try {
+      await this.writeRecord(m, { shard: to });
+      this.fleet.remove(m);
+      this.log.info({ machine: id, to }, 'machine given');
+      return true;
+    } catch (error) {
+      this.log.info({ machine: id, error: String(error) }, 'giving failed');
+      return false;
+    } finally {
+      this.moving.delete(id);
+    }
+  }
+
+  private isSpare(m: Machine): boolean {
+    return (
+      m.synced &&
+      !m.leaving &&
+      !m.lost &&
+      !m.unknown &&
+      m.held.size === 0 &&
+      m.noticeUntil === null &&
+      !this.booked.has(m.id)
+    );
+  }
+
+  // --- reports
+
+  report(m: Machine, r: Report): object | null {
+    if (!this.loaded) return null;
+    return this.fleet.report(m, r);
+  }
+
+  private found(h: Held): void {
+    const job = this.jobs.get(h.job);
+    if (!job) {
+      // Over, cancelled, or never accepted: nobody wants it.
+      if (h.state === 'exited') h.settled = true;
+      else this.fleet.halt(h, 0);
+      return;
+    }
+    const other = job.places.get(h.index);
+    if (h.state !== 'exited') {
+      if (job.done.has(h.index) || (other && other !== h)) this.fleet.halt(h, 0);
+      if (!other) job.places.set(h.index, h);
+      this.noteAttempt(job, h);
+      this.noteImageOf(job, h);
+    } else {
+      this.changed(h);
+    }
+    this.stir();
+  }
+
+  private noteAttempt(job: Job, h: Held): void {
+    if (h.attempt > job.attempt) job.attempt = h.attempt;
+  }
+
+  private noteImageOf(job: Job, h: Held): void {
+    if (h.state === 'fetching') return;
+    const cache = this.world.catalog.get(h.machine.type)?.cacheGb ?? 0;
+    noteImage(h.machine, job.image, job.spec.imageGb, cache);
+  }
+
+  private changed(h: Held): void {
+    const job = this.jobs.get(h.job);
+    if (!job) {
+      if (h.state === 'exited') h.settled = true;
+      return;
+    }
+    this.noteImageOf(job, h);
+    if (h.state === 'exited') this.exited(job, h);
+    this.stir();
+  }
+
+  private exited(job: Job, h: Held): void {
+    if (job.places.get(h.index) === h) job.places.delete(h.index);
+    const m = h.machine;
+    const now = this.world.clock.now();
+    this.log.debug(
+      { task: `${h.job}/${h.index}`, attempt: h.attempt, machine: m.id, cause: h.cause },
+      'task exited',
+    );
+    if (h.cause === 'done') {
+      m.errors = 0;
+      job.failures = 0;
+      job.failedOn.clear();
+      if (h.runningAt !== null && h.exitedAt !== null) this.learn(job, (h.exitedAt - h.runningAt) / 1000);
+      // The tasks of a gang complete together: if one is done, all are.
+      const indexes = job.spec.kind === 'gang' ? [...Array(job.spec.tasks).keys()] : [h.index];
+      for (const i of indexes) {
+        if (job.done.add(i)) job.dirtyChunks.add(Math.floor(i / this.records.perChunk));
+      }
+      void this.flush(job);
+      return;
+    }
+    h.settled = true;
+    if (h.cause === 'error') this.blame(job, m, now);
+    if (h.cause === 'no_room') m.closedUntil = now + 4000;
+    if (h.cause === 'busy' || h.cause === 'unknown') job.notBefore = now + 3000;
+    this.loosenGang(job);
+  }
+
+  /** A failure is the machine's, mostly; a job that fails on many machines was submitted with a mistake. */
+  private blame(job: Job, m: Machine, now: number): void {
+    job.failures++;
+    job.failedOn.add(m.id);
+    if (job.failedOn.size >= 3) {
+      job.notBefore = now + Math.min(120_000, 5000 * 2 ** Math.min(6, job.failures - 3));
+      return;
+    }
+    m.errors++;
+    m.closedUntil = now + Math.min(300_000, 15_000 * 2 ** (m.errors - 1));
+    this.log.info({ machine: m.id, errors: m.errors }, 'machine failed a task');
+  }
+
+  /** When a gang has lost a task, the rest of the attempt is of no use; the next waits until all are gone. */
+  private loosenGang(job: Job): void {
+    if (job.spec.kind !== 'gang' || job.places.size === 0) return;
+    for (const h of job.places.values()) if (!h.stop) this.fleet.halt(h, 0);
+  }
+
+  private gone(h: Held): void {
+    const job = this.jobs.get(h.job);
+    if (!job) return;
+    if (job.places.get(h.index) === h) job.places.delete(h.index);
+    this.loosenGang(job);
+    this.stir();
+  }
+
+  /** Notes how far off the owner's estimate was. */
+  private learn(job: Job, ranS: number): void {
+    if (job.spec.estimateS <= 0 || ranS <= 1) return;
+    const r = this.ratios.get(job.spec.class) ?? { log: 0, count: 0 };
+    r.count = Math.min(30, r.count + 1);
+    r.log += (Math.log(Math.min(4, Math.max(0.25, ranS / job.spec.estimateS))) - r.log) / (r.count + 2);
+    this.ratios.set(job.spec.class, r);
+  }
+
+  private runS(spec: JobSpec): number {
+    return spec.estimateS * Math.exp(this.ratios.get(spec.class)?.log ?? 0);
+  }
+
+  // --- jobs in the state service
+
+  private adopt(l: LoadedJob): Job {
+    const id = l.record.spec.id;
+    const known = this.jobs.get(id);
+    if (known) return known;
+    const job = this.makeJob(l.record.spec, l.record.accepted, l.record.deadline, false, l.version);
+    for (const c of l.chunks) {
+      job.done.load(c.n, this.records.perChunk, c.done);
+      job.chunkVersions.set(c.n, c.version);
+    }
+    job.stored = job.done.count;
+    this.jobs.set(id, job);
+    if (job.done.count === job.spec.tasks) void this.flush(job);
+    return job;
+  }
+
+  private makeJob(spec: JobSpec, accepted: number, deadline: number, fresh: boolean, version: number): Job {
+    const n = this.world.names;
+    return makeJob(
+      spec,
+      { accepted, deadline, order: accepted * 4096 + (this.order++ % 4096), fresh, version },
+      {
+        team: n.teams.find(spec.team) ?? -1,
+        types: spec.types && new Set(spec.types.map((t) => n.types.index(t))),
+        zone: spec.zone === null ? null : n.zones.index(spec.zone),
+        image: n.images.index(spec.image),
+      },
+    );
+  }
+
+  private mutex(id: string): Mutex {
+    let m = this.mutexes.get(id);
+    if (!m) {
+      m = new Mutex();
+      this.mutexes.set(id, m);
+    }
+    return m;
+  }
+
+  /** Makes done tasks durable; only then may the machines forget them. */
+  private async flush(job: Job): Promise<void> {
+    if (job.writing) return;
+    job.writing = true;
+    try {
+      await this.mutex(job.spec.id).runExclusive(async () => {
+        while (!this.stopped && job.state === 'active' && job.stored < job.done.count) {
+          try {
+            if (job.done.count === job.spec.tasks) this.end(job, await this.records.finish(job, 'done'));
+            else await this.records.storeDone(job);
+          } catch (error) {
+            if (error instanceof NotOwner) throw this.lostOwnership();
+            this.log.debug({ job: job.spec.id, error: String(error) }, 'storing progress failed');
+            await this.pause(400);
+          }
+        }
+      });
+    } catch (error) {
+      if (!(error instanceof NotOwner)) this.log.error({ error: String(error) }, 'storing progress ended');
+    } finally {
+      job.writing = false;
+      this.settle(job);
+    }
+  }
+
+  private settle(job: Job): void {
+    if (job.stored < job.done.count && job.state === 'active') {
+      void this.flush(job);
+      return;
+    }
+    for (const m of this.fleet.machines.values()) {
+      for (const h of m.held.values()) if (h.job === job.spec.id && h.state === 'exited') h.settled = true;
+    }
+  }
+
+  private end(job: Job, status: 'done' | 'cancelled'): void {
+    job.state = status;
+    job.stored = job.done.count;
+    const id = job.spec.id;
+    this.jobs.delete(id);
+    this.mutexes.delete(id);
+    this.shortSince.delete(id);
+    this.ended.set(id, { status, tasks: job.spec.tasks, team: job.team, need: job.need });
+    for (const old of this.ended.keys()) {
+      if (this.ended.size <= ENDED_KEPT) break;
+      this.ended.delete(old);
+    }
+    for (const m of this.fleet.machines.values()) {
+      for (const h of m.held.values()) {
+        if (h.job !== id) continue;
+        if (h.state === 'exited') h.settled = true;
+        else this.fleet.halt(h, 0);
+      }
+    }
+    this.fleet.pushStops();
+    this.log.info({ job: id, status }, 'job over');
+    this.stir();
+  }
+
+  // --- what users ask
+
+  private check(): void {
+    if (!this.ready) throw new Unavailable('the shard is being taken over');
+  }
+
+  private known(id: string): StatusAnswer | null {
+    const job = this.jobs.get(id);
+    if (job) return jobStatus(job);
+    const ended = this.ended.get(id);
+    return ended ? endedStatus(ended.status, ended.tasks) : null;
+  }
+
+  async submit(spec: JobSpec): Promise<SubmitAnswer> {
+    this.check();
+    return this.mutex(spec.id).runExclusive(async (): Promise<SubmitAnswer> => {
+      const known = this.known(spec.id);
+      if (known) return { kind: 'known', status: known.status };
+      const wall = this.world.clock.wall();
+      const trial = this.makeJob(spec, wall, 0, true, 0);
+      const finish = this.admit(trial);
+      if (finish === null) {
+        const entry = await this.records.entry(spec.id);
+        if (!entry) return { kind: 'refused', retryS: 3 };
+        return this.repeated(spec.id, entry.value as JobEntry);
+      }
+      const deadline = Math.round(wall + finish * 1000);
+      const accepted = await this.catchLoss(
+        this.records.accept({ spec, accepted: wall, deadline }, this.uniqueName('a')),
+      );
+      if (accepted.kind === 'known') return this.repeated(spec.id, accepted.entry);
+      this.check();
+      trial.version = accepted.version;
+      trial.deadlineWall = deadline;
+      this.jobs.set(spec.id, trial);
+      this.log.info({ job: spec.id, tasks: spec.tasks, deadlineInS: finish }, 'job accepted');
+      this.stir();
+      return { kind: 'accepted' };
+    });
+  }
+
+  private async repeated(id: string, entry: JobEntry): Promise<SubmitAnswer> {
+    if (entry.final) return { kind: 'known', status: entry.final };
+    const status = await this.recall(id);
+    if (!status) throw new Unavailable('job not found in its shard');
+    return { kind: 'known', status: status.status };
+  }
+
+  /** A job whose acceptance was applied late is stored but not in memory. */
+  private async recall(id: string): Promise<StatusAnswer | null> {
+    const known = this.known(id);
+    if (known) return known;
+    const loaded = await this.records.loadOne(id);
+    this.check();
+    if (!loaded) return this.known(id);
+    if (!this.ended.has(id)) this.adopt(loaded);
+    this.stir();
+    return this.known(id);
+  }
+
+  private async catchLoss<T>(work: Promise<T>): Promise<T> {
+    try {
+      return await work;
+    } catch (error) {
+      if (error instanceof NotOwner) {
+        this.lostOwnership();
+        throw new Unavailable('the shard has moved');
+      }
+      throw error;
+    }
+  }
+
+  async status(id: string): Promise<StatusAnswer | null> {
+    this.check();
+    const answer = this.known(id) ?? (await this.recall(id));
+    this.check();
+    return answer;
+  }
+
+  async cancel(id: string): Promise<'done' | 'cancelled' | null> {
+    this.check();
+    if (!this.known(id)) await this.recall(id);
+    const job = this.jobs.get(id);
+    if (job) {
+      // From here on nothing of it starts, also while the state service does not answer.
+      job.notBefore = Number.POSITIVE_INFINITY;
+      await this.mutex(id).runExclusive(async () => {
+        if (job.state !== 'active') return;
+        this.check();
+        this.end(job, await this.catchLoss(this.records.finish(job, 'cancelled')));
+      });
+      return job.state === 'active' ? null : job.state;
+    }
+    const ended = this.ended.get(id);
+    return ended ? ended.status : null;
+  }
+
+  private uniqueName(kind: string): string {
+    return `${this.world.run}-${kind}${this.index}-${this.order++}`;
+  }
+
+  // --- the plan
+
+  private planMachines(now: number): { machines: PlanMachine[]; refs: (Machine | null)[] } {
+    const machines: PlanMachine[] = [];
+    const refs: (Machine | null)[] = [];
+    const reportMs = this.world.settings.workers.reportS * 1000;
+    for (const m of this.fleet.machines.values()) {
+      const type = this.world.catalog.get(m.type);
+      if (m.leaving || m.lost || !type || this.moving.has(m.id)) continue;
+      const held: HeldBooking[] = [];
+      let strange = false;
+      for (const h of m.held.values()) {
+        if (h.state === 'exited') continue;
+        const use = this.useOf(h);
+        if (use) held.push({ team: use.team, end: this.heldEnd(h, now) / 1000, need: use.need });
+        else strange = true;
+      }
+      const booting = m.heardAt === null && !m.unknown;
+      const bootMs = type.bootS * 1000;
+      const age = now - m.rentedAt;
+      let readyAt = now;
+      if (booting) readyAt = age < bootMs * 1.1 ? m.rentedAt + bootMs * 1.1 : now + bootMs * 0.3;
+      else if (!m.synced) readyAt = now + 1500;
+      const silent = m.heardAt !== null && now - m.heardAt > reportMs * 2.5;
+      const failing = m.unreachableAt !== null && now - m.unreachableAt < 6000;
+      machines.push({
+        type: m.type,
+        zone: m.zone,
+        spot: m.spot,
+        size: this.world.catalog.size(m.type),
+        readyAt: readyAt / 1000,
+        until: m.noticeUntil === null ? Number.POSITIVE_INFINITY : m.noticeUntil / 1000,
+        closed:
+          strange ||
+          silent ||
+          failing ||
+          m.noticeUntil !== null ||
+          m.closedUntil > now ||
+          (booting && age > bootMs * 2.5),
+        fetchGbPerS: type.fetchGbPerS,
+        images: new Set(m.images.keys()),
+        slowness: 1,
+        held,
+      });
+      refs.push(m);
+    }
+    for (const r of this.rentals) {
+      for (let i = 0; i < r.count; i++) {
+        machines.push(this.virtual(r.option, (r.at + r.option.bootS * 1100) / 1000));
+        refs.push(null);
+      }
+    }
+    return { machines, refs };
+  }
+
+  private virtual(o: RentOption, readyAt: number): PlanMachine {
+    return {
+      type: o.type,
+      zone: o.zone,
+      spot: o.spot,
+      size: o.size,
+      readyAt,
+      until: Number.POSITIVE_INFINITY,
+      closed: false,
+      fetchGbPerS: this.world.catalog.get(o.type)?.fetchGbPerS ?? 1,
+      images: new Set(),
+      slowness: 1,
+      held: [],
+    };
+  }
+
+  private useOf(h: Held): { team: number; need: Amounts; spec?: JobSpec } | null {
+    return this.jobs.get(h.job) ?? this.ended.get(h.job) ?? null;
+  }
+
+  /** When a task on a machine is expected to end; one that outruns its estimate is given some more each time. */
+  private heldEnd(h: Held, now: number): number {
+    const job = this.jobs.get(h.job);
+    if (!job || h.stop) return now + 3000 + (h.stop?.graceS ? (job?.spec.saveS ?? 0) * 1000 : 0);
+    if (job.spec.kind === 'service') return now + 1e12;
+    const run = this.runS(job.spec) * 1000;
+    const type = this.world.catalog.get(h.machine.type);
+    const fetch = h.machine.images.has(job.image) ? 0 : (job.spec.imageGb / (type?.fetchGbPerS ?? 1)) * 1000;
+    const start = h.runningAt ?? Math.max(now, h.orderedAt + fetch);
+    const elapsed = Math.max(0, now - start);
+    return elapsed < run ? start + run : now + Math.max(3000, elapsed * 0.25);
+  }
+
+  private planJob(job: Job, now: number): PlanJob | null {
+    if (job.spec.kind === 'gang' && job.places.size > 0) return null;
+    const tasks = openTasks(job, job.spec.kind === 'gang' ? job.spec.tasks : 300);
+    if (tasks.length === 0) return null;
+    const present = new Map<number, number>();
+    for (const h of job.places.values()) {
+      present.set(h.machine.zone, (present.get(h.machine.zone) ?? 0) + 1);
+    }
+    return {
+      id: job.order,
+      team: job.team,
+      kind: job.spec.kind,
+      need: job.need,
+      types: job.types,
+      zone: job.zone,
+      oneZone: job.spec.oneZone,
+      spread: job.spec.spread,
+      spot: job.spec.spot,
+      image: job.image,
+      imageGb: job.spec.imageGb,
+      runS: this.runS(job.spec),
+      deadline: (now + (job.deadlineWall - this.world.clock.wall())) / 1000,
+      total: job.spec.tasks,
+      tasks,
+      present,
+    };
+  }
+
+  private newPlan(now: number, machines: PlanMachine[]): Plan {
+    const plan = new Plan(
+      now / 1000,
+      machines,
+      this.world.settings.teams.map((t) => ({ cpus: t.cpusMax, gpus: t.gpusMax })),
+    );
+    const unseen = this.unseen();
+    if (unseen.cpus > 0 || unseen.gpus > 0)
+      plan.reserve(unseen, now / 1000 + this.world.settings.workers.leaseS);
+    return plan;
+  }
+
+  /** What machines that have not reported to this owner may hold. */
+  private unseen(): Amounts {
+    const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
+    for (const m of this.fleet.machines.values()) {
+      if (!m.unknown) continue;
+      const size = this.world.catalog.size(m.type);
+      sum.cpus += size.cpus;
+      sum.gpus += size.gpus;
+      sum.memoryGb += size.memoryGb;
+    }
+    return sum;
+  }
+
+  private get adopted(): boolean {
+    for (const m of this.fleet.machines.values()) if (m.unknown) return false;
+    return true;
+  }
+
+  private inOrder(): Job[] {
+    return [...this.jobs.values()].sort((a, b) => b.spec.priority - a.spec.priority || a.order - b.order);
+  }
+
+  /**
+   * Whether the plan finishes all tasks of a job by its deadline; returns the deadline in seconds from now, or null to
+   * refuse. What is booked stays, except that work of lower priority that has not started comes after.
+   */
+  private admit(job: Job): number | null {
+    const now = this.world.clock.now();
+    const { machines } = this.planMachines(now);
+    for (const o of this.options(now)) {
+      for (let i = 0; i < 2; i++) machines.push(this.virtual(o, (now + o.bootS * 1100) / 1000));
+    }
+    const plan = this.newPlan(now, machines);
+    for (const other of this.inOrder()) {
+      if (other.spec.priority < job.spec.priority) break;
+      const p = other.notBefore > now ? null : this.planJob(other, now);
+      if (p) plan.book(p);
+    }
+    const p = this.planJob(job, now)!;
+    if (job.spec.kind === 'service') return 1e7;
+    const dueS = job.spec.deadlineS;
+    if (dueS !== null) {
+      const finish = plan.book({ ...p, deadline: now / 1000 + dueS });
+      return finish !== null && finish <= now / 1000 + dueS ? dueS : null;
+    }
+    const earliest = plan.earliestFinish(p);
+    // No machine in sight: the longest way, from renting one on.
+    const fallback =
+      Math.max(60, ...this.world.catalog.all().map(([, t]) => t.bootS)) * 2 + this.runS(job.spec);
+    return DEFAULT_SLACK * (earliest === null ? fallback : earliest - now / 1000);
+  }
+
+  private tick(): void {
+    if (this.ticking || !this.loaded || this.stopped) return;
+    this.ticking = true;
+    try {
+      this.fleet.tick();
+      if (this.entitled) {
+        const now = this.world.clock.now();
+        this.drain(now);
+        this.schedule(now);
+        this.fleet.pushStops();
+        this.returnIdle(now);
+      }
+    } catch (error) {
+      this.log.error({ error: error instanceof Error ? error.stack : String(error) }, 'tick failed');
+    } finally {
+      this.ticking = false;
+    }
+  }
+
+  /** Tasks on machines that are to be taken away save in time, and go on elsewhere. */
+  private drain(now: number): void {
+    for (const job of this.jobs.values()) {
+      let until = Number.POSITIVE_INFINITY;
+      for (const h of job.places.values()) {
+        const u = h.machine.noticeUntil;
+        if (u === null || this.heldEnd(h, now) < u - 2000) continue;
+        if (job.spec.kind === 'gang') until = Math.min(until, u);
+        else this.drainTask(job, h, u, now);
+      }
+      if (until < Number.POSITIVE_INFINITY)
+        for (const h of job.places.values()) this.drainTask(job, h, until, now);
+    }
+  }
+
+  private drainTask(job: Job, h: Held, until: number, now: number): void {
+    if (h.stop) return;
+    const useless = h.state === 'fetching' || h.state === 'waiting';
+    if (useless) {
+      this.fleet.halt(h, 0);
+      return;
+    }
+    if (job.spec.checkpointS === 0) return;
+    const lead = job.spec.saveS * 1000 + 4000;
+    if (now >= until - lead - TICK_MS) this.fleet.halt(h, job.spec.saveS + 1);
+  }
+
+  private schedule(now: number): void {
+    const { machines, refs } = this.planMachines(now);
+    const plan = this.newPlan(now, machines);
+    const unplaced: { job: Job; plan: PlanJob }[] = [];
+    const byOrder = new Map<number, Job>();
+    for (const job of this.inOrder()) {
+      if (job.notBefore > now) continue;
+      const p = this.planJob(job, now);
+      if (!p) continue;
+      byOrder.set(p.id, job);
+      if (plan.book(p) === null) unplaced.push({ job, plan: p });
+    }
+    plan.startEarly();
+    this.booked.clear();
+    for (const b of plan.bookings) {
+      const m = refs[b.machine];
+      if (m) this.booked.add(m.id);
+    }
+    this.dispatch(plan, refs, byOrder, now);
+    this.shortages(plan, unplaced, byOrder, now);
+  }
+
+  /** Starts what the plan has for now, where the machines are truly free and the rules surely hold. */
+  private dispatch(plan: Plan, refs: (Machine | null)[], byOrder: Map<number, Job>, now: number): void {
+    const perMachine = new Map<Machine, StartOrder[]>();
+    const free = new Map<Machine, Amounts>();
+    const usage = this.teamUsage();
+    const adopted = this.adopted;
+    const gangs = new Map<Job, { m: Machine; index: number }[]>();
+    const singles: { job: Job; m: Machine; index: number }[] = [];
+    for (const b of plan.bookings) {
+      const m = refs[b.machine];
+      const job = byOrder.get(b.job.id);
+      if (!m || !job || b.start > now / 1000 + 0.01) continue;
+      if (!job.fresh && !adopted) continue;
+      if (job.spec.kind === 'gang') {
+        const list = gangs.get(job) ?? [];
+        list.push({ m, index: b.task });
+        gangs.set(job, list);
+      } else {
+        singles.push({ job, m, index: b.task });
+      }
+    }
+    const start = (job: Job, parts: { m: Machine; index: number }[]) => {
+      if (!this.permitted(job, parts, free, usage, now)) return;
+      const attempt = this.nextAttempt();
+      job.attempt = attempt;
+      for (const p of parts) {
+        take(this.freeOn(p.m, free), job.need);
+        const list = perMachine.get(p.m) ?? [];
+        list.push({ job: job.spec.id, index: p.index, attempt });
+        perMachine.set(p.m, list);
+      }
+      const use = usage.get(job.team);
+      if (use) for (const _ of parts) add(use, job.need);
+      // Placed at once, so that the next check counts it.
+      for (const p of parts) this.pending.set(`${job.spec.id}/${p.index}`, p.m.zone);
+    };
+    for (const [job, parts] of gangs) if (parts.length === job.spec.tasks) start(job, parts);
+    for (const s of singles) start(s.job, [s]);
+    this.pending.clear();
+    for (const [m, starts] of perMachine) {
+      for (const h of this.fleet.start(m, starts)) {
+        this.jobs.get(h.job)?.places.set(h.index, h);
+        this.log.debug({ task: `${h.job}/${h.index}`, attempt: h.attempt, machine: m.id }, 'task started');
+      }
+    }
+  }
+
+  private readonly pending = new Map<string, number>();
+
+  private permitted(
+    job: Job,
+    parts: { m: Machine; index: number }[],
+    free: Map<Machine, Amounts>,
+    usage: Map<number, Amounts>,
+    now: number,
+  ): boolean {
+    if (job.state !== 'active' || job.notBefore > now) return false;
+    const team = this.world.settings.teams[job.team];
+    const use = usage.get(job.team);
+    if (team && use) {
+      const n = parts.length;
+      if (team.cpusMax > 0 && use.cpus + n * job.need.cpus > team.cpusMax + 1e-6) return false;
+      if (team.gpusMax > 0 && use.gpus + n * job.need.gpus > team.gpusMax + 1e-6) return false;
+    }
+    const want = new Map<Machine, number>();
+    for (const p of parts) want.set(p.m, (want.get(p.m) ?? 0) + 1);
+    for (const [m, n] of want) {
+      if (!m.synced || m.leaving || m.lost || m.unknown || !m.addr || m.noticeUntil !== null) return false;
+      if (this.moving.has(m.id) || (m.unreachableAt !== null && now - m.unreachableAt < 6000)) return false;
+      if (fitCount(this.freeOn(m, free), job.need, n) < n) return false;
+      if (job.types && !job.types.has(m.type)) return false;
+      if (m.spot && !job.spec.spot) return false;
+      if (job.zone !== null && m.zone !== job.zone) return false;
+    }
+    return this.zonesPermit(job, parts);
+  }
+
+  private zonesPermit(job: Job, parts: { m: Machine; index: number }[]): boolean {
+    if (!job.spec.oneZone && !job.spec.spread) return true;
+    const zones = new Map<number, number>();
+    const count = (zone: number) => zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    for (const m of this.fleet.machines.values()) {
+      for (const h of m.held.values()) if (h.job === job.spec.id && h.state !== 'exited') count(m.zone);
+    }
+    const prefix = `${job.spec.id}/`;
+    for (const [task, zone] of this.pending) if (task.startsWith(prefix)) count(zone);
+    for (const p of parts) count(p.m.zone);
+    if (job.spec.oneZone && zones.size > 1) return false;
+    const half = Math.ceil(job.spec.tasks / 2);
+    return !job.spec.spread || [...zones.values()].every((n) => n <= half);
+  }
+
+  private nextAttempt(): number {
+    // Terms are revisions of the state service, so no two owners ever use the same attempt number.
+    if (this.attempts >= ATTEMPTS_PER_TERM - 1) throw this.lostOwnership();
+    return this.term * ATTEMPTS_PER_TERM + ++this.attempts;
+  }
+
+  private freeOn(m: Machine, memo: Map<Machine, Amounts>): Amounts {
+    let free = memo.get(m);
+    if (!free) {
+      free = { ...this.world.catalog.size(m.type) };
+      for (const h of m.held.values()) {
+        if (h.state === 'exited') continue;
+        const use = this.useOf(h);
+        if (use) take(free, use.need);
+        else free.cpus = -1;
+      }
+      memo.set(m, free);
+    }
+    return free;
+  }
+
+  /** What each team's tasks take now, with all that may be somewhere unseen. */
+  private teamUsage(): Map<number, Amounts> {
+    const usage = new Map<number, Amounts>();
+    const unseen = this.unseen();
+    this.world.settings.teams.forEach((_, team) => {
+      usage.set(team, { ...unseen });
+    });
+    for (const m of this.fleet.machines.values()) {
+      for (const h of m.held.values()) {
+        if (h.state === 'exited') continue;
+        const use = this.useOf(h);
+        if (use) {
+          const sum = usage.get(use.team);
+          if (sum) add(sum, use.need);
+        } else {
+          // Whose it is nobody remembers: it counts for everyone.
+          for (const sum of usage.values()) add(sum, this.world.catalog.size(m.type));
+        }
+      }
+    }
+    return usage;
+  }
+
+  // --- renting and returning
+
+  private options(now: number): RentOption[] {
+    const out: RentOption[] = [];
+    for (const [type, t] of this.world.catalog.all()) {
+      for (const z of t.zones) {
+        const zone = this.world.names.zones.index(z);
+        for (const spot of [true, false]) {
+          if (spot && t.spotPrice <= 0) continue;
+          if ((this.blocked.get(optionKey(type, zone, spot)) ?? 0) > now) continue;
+          const size = { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb };
+          out.push({ type, zone, spot, size, price: spot ? t.spotPrice : t.price, bootS: t.bootS });
+        }
+      }
+    }
+    return out;
+  }
+
+  private shortages(
+    plan: Plan,
+    unplaced: { job: Job; plan: PlanJob }[],
+    byOrder: Map<number, Job>,
+    now: number,
+  ): void {
+    const waiting = new Map<Job, { soon: number; late: number }>();
+    const slot = (job: Job) => {
+      let w = waiting.get(job);
+      if (!w) {
+        w = { soon: 0, late: 0 };
+        waiting.set(job, w);
+      }
+      return w;
+    };
+    const t = now / 1000;
+    for (const b of plan.bookings) {
+      const job = byOrder.get(b.job.id);
+      if (!job || b.start <= t + 0.5) continue;
+      slot(job).soon++;
+      const boot = this.shortestBoot(job);
+      if (b.start > t + boot * 1.1 + 2) slot(job).late++;
+    }
+    for (const u of unplaced) {
+      const n = Math.max(1, openCount(u.job) - plan.bookings.filter((b) => b.job.id === u.job.order).length);
+      slot(u.job).soon += n;
+      slot(u.job).late += n;
+    }
+    const usage = this.teamUsage();
+    const needs: Gossip['needs'] = [];
+    const options = this.options(now);
+    let rented = false;
+    for (const id of [...this.shortSince.keys()]) {
+      const job = this.jobs.get(id);
+      if (!job || !waiting.has(job)) this.shortSince.delete(id);
+    }
+    for (const [job, w] of [...waiting].sort(
+      (a, b) => b[0].spec.priority - a[0].spec.priority || a[0].order - b[0].order,
+    )) {
+      const cap = this.underCap(job, usage);
+      const soon = Math.min(w.soon, cap);
+      if (soon <= 0) continue;
+      const s: Shortage = {
+        types: job.types,
+        zone: job.zone,
+        spot: job.spec.spot,
+        need: job.need,
+        count: soon,
+      };
+      needs.push(this.need(job, soon));
+      const since = this.shortSince.get(job.spec.id) ?? now;
+      this.shortSince.set(job.spec.id, since);
+      const late = Math.min(w.late, cap);
+      if (late <= 0 || now - since < RENT_AFTER_MS || rented || this.rentals.size >= MAX_PENDING_RENTALS)
+        continue;
+      const choice = chooseRental({ ...s, count: late }, options, 8);
+      if (choice) {
+        rented = true;
+        void this.rent(choice.option, choice.count);
+      }
+    }
+    this.needs = needs;
+    if (rented) this.stir();
+  }
+
+  private need(job: Job, count: number): Gossip['needs'][number] {
+    return {
+      types: job.spec.types,
+      zone: job.spec.zone,
+      spot: job.spec.spot,
+      cpus: job.need.cpus,
+      gpus: job.need.gpus,
+      memoryGb: job.need.memoryGb,
+      count,
+      priority: job.spec.priority,
+      deadline: job.deadlineWall,
+    };
+  }
+
+  private shortestBoot(job: Job): number {
+    let best = 1e9;
+    for (const [type, t] of this.world.catalog.all()) {
+      if (job.types && !job.types.has(type)) continue;
+      if (fitCount(this.world.catalog.size(type), job.need, 1) > 0) best = Math.min(best, t.bootS);
+    }
+    return best;
+  }
+
+  /** How many more tasks of a job its team may run at once. */
+  private underCap(job: Job, usage: Map<number, Amounts>): number {
+    const team = this.world.settings.teams[job.team];
+    const use = usage.get(job.team);
+    if (!team || !use) return 100_000;
+    return fitCount(
+      {
+        cpus: team.cpusMax > 0 ? team.cpusMax - use.cpus : 1e12,
+        gpus: team.gpusMax > 0 ? team.gpusMax - use.gpus : 1e12,
+        memoryGb: 1e12,
+      },
+      { ...job.need, memoryGb: 0 },
+      100_000,
+    );
+  }
+
+  private async rent(option: RentOption, count: number): Promise<void> {
+    const names = this.world.names;
+    const pending: PendingRental = { option, count, at: this.world.clock.now() };
+    const request = {
+      request: this.uniqueName('r'),
+      type: names.types.name(option.type),
+      zone: names.zones.name(option.zone),
+      spot: option.spot,
+      count,
+    };
+    this.rentals.add(pending);
+    const key = optionKey(option.type, option.zone, option.spot);
+    try {
+      for (let tries = 0; tries < 4 && !this.stopped; tries++) {
+        try {
+          const rented = await this.world.cloud.rent(request);
+          if (!rented || rented.length < count)
+            this.blocked.set(key, this.world.clock.now() + NO_CAPACITY_MS);
+          this.log.info({ ...request, rented }, 'rental');
+          if (rented) await this.enter(rented, request, pending.at);
+          return;
+        } catch (error) {
+          this.log.info({ ...request, error: String(error) }, 'rental failed');
+          await this.pause(1500);
+        }
+      }
+      this.blocked.set(key, this.world.clock.now() + 5000);
+    } finally {
+      this.rentals.delete(pending);
+      this.stir();
+    }
+  }
+
+  /** Records rented machines as this shard's; those that cannot be recorded come back as strays. */
+  private async enter(
+    ids: string[],
+    r: { type: string; zone: string; spot: boolean },
+    at: number,
+  ): Promise<void> {
+    const per = Math.max(1, this.world.settings.stateLimits.txnOps);
+    const rentedAt = Math.round(this.world.clock.wall() - (this.world.clock.now() - at));
+    for (let i = 0; i < ids.length; i += per) {
+      const part = ids.slice(i, i + per);
+      const value = (): MachineRecord => ({
+        shard: this.index,
+        addr: '',
+        type: r.type,
+        zone: r.zone,
+        spot: r.spot,
+        state: 'use',
+        rentedAt,
+      });
+      const result = await this.world.store.txn(
+        [this.owned, ...part.map((id) => ({ key: KEYS.machine(id), version: 0 }))],
+        part.map((id) => ({ put: KEYS.machine(id), value: value() })),
+      );
+      if (!result.ok) continue;
+      for (const id of part) {
+        this.machineRecord(id, { key: KEYS.machine(id), value: value(), version: result.revision });
+      }
+    }
+  }
+
+  private returnIdle(now: number): void {
+    for (const m of this.fleet.machines.values()) {
+      if (this.moving.has(m.id)) continue;
+      const type = this.world.catalog.get(m.type);
+      const idle = this.isSpare(m) && m.idleSince !== null && now - m.idleSince > IDLE_KEEP_MS;
+      const never =
+        m.heardAt === null &&
+        !m.unknown &&
+        type !== undefined &&
+        now - m.rentedAt > type.bootS * 4000 + 30_000 &&
+        now - this.claimedAt > 60_000;
+      const silent = m.lost && now - this.fleet.leaseEnd(m) > SILENT_RETURN_MS;
+      const sick = m.errors >= 3 && m.held.size === 0 && m.synced;
+      if (m.leaving || idle || never || silent || sick) void this.giveBack(m);
+    }
+  }
+
+  /** Gives a machine back: marked durably first, so that no owner ever uses it again. */
+  private async giveBack(m: Machine): Promise<void> {
+    this.moving.add(m.id);
+    try {
+      if (!m.leaving) {
+        const version = await this.writeRecord(m, { state: 'leaving' });
+        m.leaving = true;
+        m.version = version;
+      }
+      await this.world.cloud.release([m.id]);
+      this.log.info({ machine: m.id }, 'machine returned');
+      await this.forget(m);
+    } catch (error) {
+      this.log.info({ machine: m.id, error: String(error) }, 'returning failed');
+      await this.pause(3000);
+    } finally {
+      this.moving.delete(m.id);
+    }
+  }
+
+  /** The machine is surely no more. */
+  private async forget(m: Machine): Promise<void> {
+    this.fleet.remove(m);
+    const key = KEYS.machine(m.id);
+    try {
+      await this.world.store.txn([this.owned, { key, version: m.version }], [{ delete: key }]);
+    } catch (error) {
+      this.log.info({ machine: m.id, error: String(error) }, 'machine record stays for now');
+      this.fleet.machines.set(m.id, { ...m, leaving: true });
+    }
+  }
+
+  private absentSince = new Map<string, number>();
+
+  /** Compares the machines with the cloud's list, which is late and may be older than the one before. */
+  listed(): void {
+    const now = this.world.clock.now();
+    const byId = new Map(this.world.catalog.listed.map((l) => [l.id, l]));
+    const patience = Math.max(15_000, this.world.settings.cloudLimits.listLagS * 4000);
+    for (const m of this.fleet.machines.values()) {
+      const l = byId.get(m.id);
+      if (l) {
+        this.absentSince.delete(m.id);
+        if (!m.addr && l.addr) m.addr = l.addr;
+        if (l.state === 'failed' && !this.moving.has(m.id)) {
+          this.log.info({ machine: m.id }, 'machine failed');
+          void this.giveBack(m);
+        }
+        continue;
+      }
+      const since = this.absentSince.get(m.id) ?? now;
+      this.absentSince.set(m.id, since);
+      const quiet = m.heardAt === null ? now - m.rentedAt > 60_000 : m.lost;
+      if (quiet && now - since > patience && !this.moving.has(m.id)) void this.giveBack(m);
+    }
+    for (const id of this.absentSince.keys()) if (!this.fleet.machines.has(id)) this.absentSince.delete(id);
+  }
+
+  gossip(node: string): Gossip {
+    const n = this.world.names;
+    const spares = [];
+    for (const m of this.fleet.machines.values()) {
+      if (!this.isSpare(m) || this.moving.has(m.id) || m.closedUntil > this.world.clock.now()) continue;
+      spares.push({
+        id: m.id,
+        type: n.types.name(m.type),
+        zone: n.zones.name(m.zone),
+        spot: m.spot,
+        images: [...m.images.keys()].map((i) => n.images.name(i)),
+      });
+    }
+    return { shard: this.index, node, spares, needs: this.needs.slice(0, 20) };
+  }
+}
+
+function endedStatus(status: 'done' | 'cancelled', tasks: number): StatusAnswer {
+  return { status, done: status === 'done' ? tasks : 0, running: 0 };
+}
+
+function optionKey(type: number, zone: number, spot: boolean): string {
+  return `${type}/${zone}/${spot}`;
+}
+
+function take(from: Amounts, need: Amounts): void {
+  from.cpus -= need.cpus;
+  from.gpus -= need.gpus;
+  from.memoryGb -= need.memoryGb;
+}
+
+function add(to: Amounts, need: Amounts): void {
+  to.cpus += need.cpus;
+  to.gpus += need.gpus;
+  to.memoryGb += need.memoryGb;
+}
--- /dev/null
+++ b/src/shards/world.ts
@@ -0,0 +1,61 @@
+import type { Clock } from '../clock/clock.js';
+import type { Cloud } from '../cloud/cloud.js';
+import type { Log } from '../config/log.js';
+import type { Settings } from '../config/settings.js';
+import type { Requester } from '../http/client.js';
+import { NameTable } from '../names/names.js';
+import type { Amounts } from '../plan/profile.js';
+import type { StateStore } from '../state/store.js';
+import type { ListedMachine, MachineType } from '../wire/cloud.js';
+
+/** What all parts of one node share. */
+export interface World {
+  clock: Clock;
+  settings: Settings;
+  log: Log;
+  http: Requester;
+  store: StateStore;
+  cloud: Cloud;
+  names: Names;
+  catalog: Catalog;
+  /** Marks this run of the process in every name that must not be used twice. */
+  run: string;
+}
+
+/** Names are mapped to indices where they enter, and back where they leave. */
+export class Names {
+  readonly teams = new NameTable();
+  readonly types = new NameTable();
+  readonly zones = new NameTable();
+  readonly images = new NameTable();
+}
+
+/** Machine types as the cloud last told them. */
+export class Catalog {
+  private readonly byIndex = new Map<number, MachineType>();
+  listed: ListedMachine[] = [];
+  listedAt = 0;
+
+  constructor(private readonly names: Names) {}
+
+  get known(): boolean {
+    return this.byIndex.size > 0;
+  }
+
+  set(types: MachineType[]): void {
+    for (const t of types) this.byIndex.set(this.names.types.index(t.name), t);
+  }
+
+  get(type: number): MachineType | undefined {
+    return this.byIndex.get(type);
+  }
+
+  all(): [number, MachineType][] {
+    return [...this.byIndex];
+  }
+
+  size(type: number): Amounts {
+    const t = this.byIndex.get(type);
+    return t ? { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb } : { cpus: 0, gpus: 0, memoryGb: 0 };
+  }
+}
--- /dev/null
+++ b/src/state/store.ts
@@ -0,0 +1,156 @@
+import type { Clock } from '../clock/clock.js';
+import { type HttpAnswer, HttpFailure, type Requester } from '../http/client.js';
+import {
+  type Change,
+  type Condition,
+  type Entry,
+  readChanges,
+  readEntries,
+  readEntry,
+  readLease,
+  readTxn,
+  STATE_PATHS,
+  type Write,
+  writeLeaseRequest,
+  writeTxn,
+} from '../wire/state.js';
+import { Limiter, Overloaded } from './limiter.js';
+
+/** `done` false: the request surely had no effect. True: it may have had, or may yet have. */
+export class StateFailure extends Error {
+  constructor(
+    message: string,
+    readonly maybe: boolean,
+  ) {
+    super(message);
+  }
+}
+
+export type TxnResult = { ok: true; revision: number } | { ok: false; failed: string[] };
+
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  nodes: number;
+}
+
+const TIMEOUT_MS = 2500;
+const PAGE = 500;
+
+/** The state service, within this node's part of its rates. */
+export class StateStore {
+  private readonly requests: Limiter;
+  private readonly changes: Limiter;
+
+  constructor(
+    clock: Clock,
+    private readonly http: Requester,
+    private readonly addr: string,
+    limits: StateLimits,
+  ) {
+    // The service counts all nodes together; each keeps to its part, with some left for lease renewals.
+    const part = 0.85 / limits.nodes;
+    this.requests = new Limiter(clock, limits.rps * part, limits.rps * part);
+    this.changes = new Limiter(clock, limits.writeRps * part, limits.writeRps * part);
+  }
+
+  async get(key: string): Promise<Entry | null> {
+    const answer = await this.send('GET', STATE_PATHS.key(key), null, 0, false);
+    if (answer.status === 404) return null;
+    const entry = answer.status === 200 ? readEntry(answer.body) : null;
+    if (!entry) throw new StateFailure(`get ${key}: ${answer.status}`, false);
+    return entry;
+  }
+
+  /** All entries under a prefix, and the revision of the first page. */
+  async list(prefix: string): Promise<{ entries: Entry[]; revision: number }> {
+    const entries: Entry[] = [];
+    let after: string | null = null;
+    let revision = 0;
+    for (;;) {
+      const answer = await this.send('GET', STATE_PATHS.list(prefix, after, PAGE), null, 0, false);
+      const page = answer.status === 200 ? readEntries(answer.body) : null;
+      if (!page) throw new StateFailure(`list ${prefix}: ${answer.status}`, false);
+      if (after === null) revision = page.revision;
+      entries.push(...page.entries);
+      const last = page.entries.at(-1);
+      if (!page.more || !last) return { entries, revision };
+      after = last.key;
+    }
+  }
+
+  async txn(when: Condition[], writes: Write[], urgent = false): Promise<TxnResult> {
+    const answer = await this.send('POST', STATE_PATHS.txn, writeTxn(when, writes), writes.length, urgent);
+    const result = answer.status === 200 || answer.status === 409 ? readTxn(answer.body) : null;
+    if (!result)
+      throw new StateFailure(`txn: ${answer.status} ${JSON.stringify(answer.body)}`, answer.status === 200);
+    return answer.status === 200
+      ? { ok: true, revision: result.revision }
+      : { ok: false, failed: result.failed };
+  }
+
+  async grant(ttlMs: number): Promise<number> {
+    const answer = await this.send('POST', STATE_PATHS.leases, writeLeaseRequest(ttlMs), 0, true);
+    const lease = answer.status === 200 ? readLease(answer.body) : null;
+    if (lease === null) throw new StateFailure(`lease: ${answer.status}`, true);
+    return lease;
+  }
+
+  /** False when the lease is gone. */
+  async renew(lease: number, timeoutMs: number): Promise<boolean> {
+    const answer = await this.send('POST', STATE_PATHS.renew(lease), {}, 0, true, timeoutMs);
+    if (answer.status === 200) return true;
+    if (answer.status === 404) return false;
+    throw new StateFailure(`renew: ${answer.status}`, true);
+  }
+
+  async revoke(lease: number): Promise<void> {
+    const answer = await this.send('DELETE', STATE_PATHS.lease(lease), null, 0, true);
+    if (answer.status !== 200 && answer.status !== 404)
+      throw new StateFailure(`revoke: ${answer.status}`, true);
+  }
+
+  /** Null when the service no longer keeps changes that old. */
+  async watch(
+    prefix: string,
+    since: number,
+    waitMs: number,
+  ): Promise<{ revision: number; changes: Change[] } | null> {
+    const answer = await this.send(
+      'GET',
+      STATE_PATHS.watch(prefix, since, waitMs),
+      null,
+      0,
+      true,
+      waitMs + 4000,
+    );
+    if (answer.status === 410) return null;
+    const result = answer.status === 200 ? readChanges(answer.body) : null;
+    if (!result) throw new StateFailure(`watch: ${answer.status}`, false);
+    return result;
+  }
+
+  private async send(
+    method: string,
+    path: string,
+    body: object | null,
+    changes: number,
+    urgent: boolean,
+    timeoutMs = TIMEOUT_MS,
+  ): Promise<HttpAnswer> {
+    let answer: HttpAnswer;
+    try {
+      await this.requests.take(1, urgent, 2000);
+      if (changes > 0) await this.changes.take(changes, urgent, 2000);
+      answer = await this.http.request(this.addr, method, path, body, timeoutMs);
+    } catch (error) {
+      if (error instanceof Overloaded) throw new StateFailure('over this node’s rate', false);
+      if (error instanceof HttpFailure) throw new StateFailure(error.message, error.sent);
+      throw error;
+    }
+    // 503 and 429 say that nothing was executed.
+    if (answer.status === 503 || answer.status === 429)
+      throw new StateFailure(`${path}: ${answer.status}`, false);
+    return answer;
+  }
+}
--- /dev/null
+++ b/src/wire/state.ts
@@ -0,0 +1,103 @@
+import * as v from 'valibot';
+
+/** Requests to and answers of the state service. */
+export interface Entry {
+  key: string;
+  value: unknown;
+  version: number;
+}
+
+export interface Condition {
+  key: string;
+  version: number;
+}
+
+export type Write = { put: string; value: unknown; lease?: number } | { delete: string };
+
+export type Change =
+  | { key: string; value: unknown; version: number }
+  | { key: string; gone: true; version: number };
+
+const entry = v.object({ path: v.string(), value: v.unknown(), stamp: v.number() });
+const listBody = v.object({
+  entries: v.array(entry),
+  more: v.optional(v.boolean(), false),
+  ledgerRev: v.optional(v.number(), 0),
+});
+const watchBody = v.object({
+  ledgerRev: v.number(),
+  events: v.array(
+    v.union([
+      v.object({ set: v.string(), value: v.unknown(), stamp: v.number() }),
+      v.object({ drop: v.string(), stamp: v.number() }),
+    ]),
+  ),
+});
+const txnBody = v.object({ ledgerRev: v.number(), failed: v.optional(v.array(v.string())) });
+const leaseBody = v.object({ permit: v.number() });
+
+export function readEntry(body: unknown): Entry | null {
+  const p = v.safeParse(entry, body);
+  return p.success ? { key: p.output.path, value: p.output.value, version: p.output.stamp } : null;
+}
+
+export function readEntries(body: unknown): { entries: Entry[]; more: boolean; revision: number } | null {
+  const p = v.safeParse(listBody, body);
+  if (!p.success) return null;
+  return {
+    entries: p.output.entries.map((e) => ({ key: e.path, value: e.value, version: e.stamp })),
+    more: p.output.more,
+    revision: p.output.ledgerRev,
+  };
+}
+
+export function readChanges(body: unknown): { revision: number; changes: Change[] } | null {
+  const p = v.safeParse(watchBody, body);
+  if (!p.success) return null;
+  return {
+    revision: p.output.ledgerRev,
+    changes: p.output.events.map((e) =>
+      'set' in e
+        ? { key: e.set, value: e.value, version: e.stamp }
+        : { key: e.drop, gone: true as const, version: e.stamp },
+    ),
+  };
+}
+
+export function readTxn(body: unknown): { revision: number; failed: string[] } | null {
+  const p = v.safeParse(txnBody, body);
+  return p.success ? { revision: p.output.ledgerRev, failed: p.output.failed ?? [] } : null;
+}
+
+export function readLease(body: unknown): number | null {
+  const p = v.safeParse(leaseBody, body);
+  return p.success ? p.output.permit : null;
+}
+
+export function writeTxn(when: Condition[], writes: Write[]): object {
+  return {
+    when: when.map((c) => ({ path: c.key, stamp: c.version })),
+    writes: writes.map((w) => {
+      if ('delete' in w) return { drop: w.delete };
+      return w.lease === undefined
+        ? { set: w.put, value: w.value }
+        : { set: w.put, value: w.value, permit: w.lease };
+    }),
+  };
+}
+
+export const STATE_PATHS = {
+  key: (key: string) => `/keys/${key}`,
+  list: (prefix: string, after: string | null, limit: number) =>
+    `/keys?under=${encodeURIComponent(prefix)}${after === null ? '' : `&since=${encodeURIComponent(after)}`}&most=${limit}`,
+  txn: '/txn',
+  leases: '/leases',
+  lease: (id: number) => `/leases/${id}`,
+  renew: (id: number) => `/leases/${id}/touch`,
+  watch: (prefix: string, since: number, waitMs: number) =>
+    `/watch?under=${encodeURIComponent(prefix)}&since=${since}&waitMs=${waitMs}`,
+};
+
+export function writeLeaseRequest(ttlMs: number): object {
+  return { ttlMs };
+}
--- /dev/null
+++ b/src/wire/users.ts
@@ -0,0 +1,115 @@
+import * as v from 'valibot';
+
+/** What users send and are told. The wire's own words for things stop in this package. */
+export type JobKind = 'array' | 'gang' | 'service';
+export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
+
+/** Priorities, larger before smaller. */
+export const PRIORITY = { low: 0, normal: 1, high: 2, production: 3 } as const;
+
+export interface JobSpec {
+  id: string;
+  class: string;
+  team: string;
+  kind: JobKind;
+  priority: number;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  image: string;
+  imageGb: number;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+const JOB_ID = /^wk-[A-Za-z0-9_-]{1,64}$/;
+const name = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
+const KINDS = { sweep: 'array', ensemble: 'gang', standing: 'service' } as const;
+const PRIORITIES = {
+  production: PRIORITY.production,
+  urgent: PRIORITY.high,
+  standard: PRIORITY.normal,
+  low: PRIORITY.low,
+} as const;
+
+const jobBody = v.object({
+  id: v.pipe(v.string(), v.regex(JOB_ID)),
+  jobClass: name,
+  owner: name,
+  shape: v.picklist(['sweep', 'ensemble', 'standing']),
+  urgency: v.picklist(['production', 'urgent', 'standard', 'low']),
+  pieces: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
+  cpus: amount,
+  cards: amount,
+  memoryGb: amount,
+  bundle: name,
+  pullGb: amount,
+  flavors: v.nullish(v.pipe(v.array(name), v.maxLength(200))),
+  yard: v.nullish(name),
+  oneZone: v.boolean(),
+  spread: v.boolean(),
+  loaner: v.boolean(),
+  expectedS: amount,
+  saveEveryS: amount,
+  savingS: amount,
+  dueS: v.nullish(v.pipe(v.number(), v.finite(), v.gtValue(0))),
+});
+
+/** Reads a submission; a string says what is wrong with it. */
+export function readJob(body: unknown): JobSpec | string {
+  const parsed = v.safeParse(jobBody, body);
+  if (!parsed.success) {
+    const issue = parsed.issues[0];
+    return `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`;
+  }
+  const b = parsed.output;
+  return {
+    id: b.id,
+    class: b.jobClass,
+    team: b.owner,
+    kind: KINDS[b.shape],
+    priority: PRIORITIES[b.urgency],
+    tasks: b.pieces,
+    cpus: b.cpus,
+    gpus: b.cards,
+    memoryGb: b.memoryGb,
+    types: b.flavors ?? null,
+    zone: b.yard ?? null,
+    oneZone: b.oneZone,
+    spread: b.spread,
+    spot: b.loaner,
+    image: b.bundle,
+    imageGb: b.pullGb,
+    estimateS: b.expectedS,
+    checkpointS: b.saveEveryS,
+    saveS: b.savingS,
+    deadlineS: b.dueS ?? null,
+  };
+}
+
+export function isJobId(id: string): boolean {
+  return JOB_ID.test(id);
+}
+
+function statusWord(status: JobStatus): string {
+  return status === 'cancelled' ? 'aborted' : status;
+}
+
+export function writeAccepted(id: string, status: JobStatus): object {
+  return { id, status: statusWord(status) };
+}
+
+export function writeStatus(id: string, status: JobStatus, done: number, running: number): object {
+  return { id, status: statusWord(status), done, running };
+}
+
+export const USER_PATHS = { jobs: '/api/jobs', cancel: 'abort', health: '/healthz' } as const;
--- /dev/null
+++ b/src/wire/workers.ts
@@ -0,0 +1,131 @@
+import * as v from 'valibot';
+
+/** What workers report and are told. */
+export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+export type ExitCause = 'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'no_room' | 'busy' | 'unknown';
+
+export interface TaskReport {
+  job: string;
+  index: number;
+  attempt: number;
+  state: TaskState;
+  cause: ExitCause | null;
+  saved: boolean;
+}
+
+export interface Report {
+  machine: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  noticeS: number | null;
+  tasks: TaskReport[];
+}
+
+export type Order =
+  | { op: 'start'; job: string; index: number; attempt: number }
+  | { op: 'stop'; job: string; index: number; attempt: number; graceS: number }
+  | { op: 'forget'; job: string; index: number; attempt: number };
+
+const STATES: Record<string, TaskState> = {
+  pulling: 'fetching',
+  waiting: 'waiting',
+  running: 'running',
+  saving: 'saving',
+  ended: 'exited',
+};
+const CAUSES: Record<string, ExitCause> = {
+  done: 'done',
+  halted: 'stopped',
+  peers: 'peers',
+  incomplete: 'alone',
+  error: 'error',
+  full: 'no_room',
+  in_use: 'busy',
+  no_such: 'unknown',
+};
+const VERBS = { start: 'run', stop: 'kill', forget: 'clear' } as const;
+
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const reportBody = v.object({
+  worker: v.pipe(v.string(), v.regex(/^\S{1,120}$/)),
+  addr: v.pipe(v.string(), v.regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/)),
+  flavor: v.string(),
+  yard: v.string(),
+  loaner: v.boolean(),
+  shift: count,
+  tally: count,
+  baton: v.optional(count, 0),
+  recallS: v.nullish(v.pipe(v.number(), v.finite())),
+  pieces: v.array(
+    v.object({
+      piece: v.pipe(v.string(), v.regex(/^\S+\/\d{1,6}$/)),
+      try: count,
+      status: v.string(),
+      cause: v.nullish(v.string()),
+      kept: v.nullish(v.boolean()),
+    }),
+  ),
+});
+
+export function taskName(job: string, index: number): string {
+  return `${job}/${index}`;
+}
+
+/** Reads a worker's report; null when it is not one. */
+export function readReport(body: unknown): Report | null {
+  const parsed = v.safeParse(reportBody, body);
+  if (!parsed.success) return null;
+  const b = parsed.output;
+  const tasks: TaskReport[] = [];
+  for (const p of b.pieces) {
+    const slash = p.piece.lastIndexOf('/');
+    const state = STATES[p.status];
+    // An unknown state still means the task is on the machine.
+    tasks.push({
+      job: p.piece.slice(0, slash),
+      index: Number(p.piece.slice(slash + 1)),
+      attempt: p.try,
+      state: state ?? 'running',
+      cause: state === 'exited' ? (CAUSES[p.cause ?? ''] ?? 'error') : null,
+      saved: p.kept === true,
+    });
+  }
+  return {
+    machine: b.worker,
+    addr: b.addr,
+    type: b.flavor,
+    zone: b.yard,
+    spot: b.loaner,
+    session: b.shift,
+    seq: b.tally,
+    token: b.baton,
+    noticeS: b.recallS ?? null,
+    tasks,
+  };
+}
+
+function writeOrder(o: Order): object {
+  const base = { verb: VERBS[o.op], piece: taskName(o.job, o.index), try: o.attempt };
+  return o.op === 'stop' ? { ...base, windDownS: o.graceS } : base;
+}
+
+/** The answer to a report. */
+export function writeOrders(token: number, orders: Order[]): object {
+  return { baton: token, orders: orders.map(writeOrder) };
+}
+
+/** A command sent straight to a worker. */
+export function writeCommands(token: number, session: number, orders: Order[]): object {
+  return { baton: token, shift: session, orders: orders.map(writeOrder) };
+}
+
+export function writeRedirect(node: string | null): object {
+  return node === null ? {} : { foreman: node };
+}
+
+export const WORKER_PATHS = { report: '/v1/report', commands: '/do', show: '/show' } as const;
--- /dev/null
+++ b/src/workers/fleet.ts
@@ -0,0 +1,365 @@
+import type { Clock } from '../clock/clock.js';
+import { DRIFT } from '../clock/clock.js';
+import type { Log } from '../config/log.js';
+import { HttpFailure, type Requester } from '../http/client.js';
+import {
+  type Order,
+  type Report,
+  readReport,
+  WORKER_PATHS,
+  writeCommands,
+  writeOrders,
+} from '../wire/workers.js';
+import { type Held, heldKey, type Machine } from './machine.js';
+
+export interface FleetHooks {
+  /** True while this node surely holds the shard. */
+  entitled(): boolean;
+  /** Makes a newer token durable; returns the new version of the machine's record. */
+  renewRecord(m: Machine): Promise<number>;
+  /** A machine reports a task that was not known to be there. */
+  found(h: Held): void;
+  /** State or cause of a known task changed. */
+  changed(h: Held): void;
+  /** A task is surely no longer on its machine. */
+  gone(h: Held, why: 'refused' | 'lost'): void;
+  /** Something changed that the plan should take in. */
+  stir(): void;
+}
+
+export interface StartOrder {
+  job: string;
+  index: number;
+  attempt: number;
+}
+
+type Via = 'report' | 'command';
+type Absorbed = 'late' | 'foreign' | 'untokened' | 'ok';
+
+const COMMAND_MS = 3000;
+const SHOW_MS = 2000;
+const CONTACT_EVERY_MS = 1500;
+const LEASE_MARGIN_MS = 500;
+
+/** Dealings with the machines of one shard. */
+export class Fleet {
+  readonly machines = new Map<string, Machine>();
+  private readonly contacting = new Set<string>();
+  private readonly contactedAt = new Map<string, number>();
+  private stopped = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly http: Requester,
+    private readonly leaseS: number,
+    private readonly log: Log,
+    private readonly hooks: FleetHooks,
+  ) {}
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private get live(): boolean {
+    return !this.stopped && this.hooks.entitled();
+  }
+
+  /** The orders for a reporting machine, or null when the report must not be answered with 200. */
+  report(m: Machine, r: Report): object | null {
+    if (!this.live) return null;
+    const absorbed = this.absorb(m, r, 'report');
+    if (absorbed === 'late' || absorbed === 'foreign') return null;
+    m.answeredAt = this.clock.now();
+    const orders = absorbed === 'ok' ? this.pendingOrders(m) : [];
+    if (absorbed === 'untokened') void this.contact(m, r.session);
+    return writeOrders(m.token, orders);
+  }
+
+  /** Starts tasks on a machine that has reported under the present token. */
+  start(m: Machine, starts: StartOrder[]): Held[] {
+    const now = this.clock.now();
+    const held = starts.map((s): Held => {
+      const h: Held = {
+        ...s,
+        machine: m,
+        state: 'fetching',
+        cause: null,
+        saved: false,
+        phase: 'sending',
+        token: m.token,
+        orderedAt: now,
+        runningAt: null,
+        exitedAt: null,
+        stop: null,
+        settled: false,
+      };
+      m.held.set(heldKey(s.job, s.index, s.attempt), h);
+      return h;
+    });
+    m.idleSince = null;
+    void this.sendStarts(m, held);
+    return held;
+  }
+
+  /** Stops a task; a later call can only shorten the grace. */
+  halt(h: Held, graceS: number): void {
+    const now = this.clock.now();
+    if (h.state === 'exited') return;
+    if (h.stop) {
+      if (graceS < h.stop.graceS) h.stop = { graceS, since: h.stop.since, sentAt: 0, hard: graceS === 0 };
+    } else {
+      h.stop = { graceS, since: now, sentAt: 0, hard: graceS === 0 };
+    }
+  }
+
+  /** Sends stops that have not been sent, or long ago, straight to the machines. */
+  pushStops(): void {
+    const now = this.clock.now();
+    for (const m of this.machines.values()) {
+      const due: Held[] = [];
+      for (const h of m.held.values()) {
+        if (h.stop && h.state !== 'exited' && now - h.stop.sentAt > 2000) due.push(h);
+      }
+      if (due.length === 0 || !m.synced || !m.addr || !this.live) continue;
+      for (const h of due) h.stop!.sentAt = now;
+      void this.command(m, due.map(stopOrder)).catch(() => undefined);
+    }
+  }
+
+  /** What time alone decides: leases that ran out, machines to be asked. */
+  tick(): void {
+    const now = this.clock.now();
+    for (const m of this.machines.values()) {
+      if (!m.lost && now > this.leaseEnd(m)) this.lose(m);
+      if (!m.synced && m.addr && !m.lost && m.heardAt !== null) void this.contact(m, null);
+    }
+  }
+
+  /** When the machine has surely dropped all that it held, unless it reports before. */
+  leaseEnd(m: Machine): number {
+    return m.answeredAt + this.leaseS * 1000 * (1 + 2 * DRIFT) + LEASE_MARGIN_MS;
+  }
+
+  /** The machine is no more. */
+  remove(m: Machine): void {
+    this.machines.delete(m.id);
+    this.contactedAt.delete(m.id);
+    this.dropAll(m);
+    m.unknown = false;
+  }
+
+  /**
+   * Asks a machine for its report under the present token. Until it has given one, a command of an earlier owner that
+   * the network holds back could still be executed there.
+   */
+  async contact(m: Machine, session: number | null): Promise<void> {
+    const last = this.contactedAt.get(m.id) ?? Number.NEGATIVE_INFINITY;
+    if (m.synced || !m.addr || this.contacting.has(m.id)) return;
+    if (session === null && this.clock.now() - last < CONTACT_EVERY_MS) return;
+    this.contacting.add(m.id);
+    this.contactedAt.set(m.id, this.clock.now());
+    try {
+      let shift = session;
+      if (shift === null) {
+        const shown = await this.http.request(m.addr, 'GET', WORKER_PATHS.show, null, SHOW_MS);
+        const r = readReport(shown.body);
+        if (!r || r.machine !== m.id) return;
+        shift = r.session;
+      }
+      if (this.live) await this.command(m, [], shift);
+    } catch {
+      // It is asked again, and its own reports come as well.
+    } finally {
+      this.contacting.delete(m.id);
+    }
+  }
+
+  private lose(m: Machine): void {
+    this.log.info({ machine: m.id, held: m.held.size }, 'machine lost: its lease ran out');
+    m.lost = true;
+    m.synced = false;
+    m.unknown = false;
+    // What its present session still reports is from before its lease ended.
+    if (m.session > 0) m.minSession = m.session + 1;
+    this.dropAll(m);
+    this.hooks.stir();
+  }
+
+  private dropAll(m: Machine): void {
+    const all = [...m.held.values()];
+    m.held.clear();
+    for (const h of all) if (h.state !== 'exited' || !h.settled) this.hooks.gone(h, 'lost');
+  }
+
+  private async sendStarts(m: Machine, held: Held[]): Promise<void> {
+    const orders = held.map((h): Order => ({ op: 'start', job: h.job, index: h.index, attempt: h.attempt }));
+    try {
+      const executed = await this.command(m, orders, m.session, () => {
+        for (const h of held) if (h.phase === 'sending') h.phase = 'known';
+      });
+      if (executed) m.unreachableAt = null;
+      else this.refuse(held);
+    } catch (error) {
+      m.unreachableAt = this.clock.now();
+      if (error instanceof HttpFailure && !error.sent) {
+        this.refuse(held);
+        return;
+      }
+      // The command may be executed at any later time while token and session match. Only a newer token, or the end of
+      // the session, makes sure that it is not.
+      for (const h of held) if (h.phase === 'sending') h.phase = 'unsure';
+      this.log.info({ machine: m.id, tasks: held.length }, 'start unanswered, renewing the token');
+      void this.renewToken(m);
+    }
+  }
+
+  private refuse(held: Held[]): void {
+    for (const h of held) {
+      if (h.phase !== 'sending') continue;
+      h.machine.held.delete(heldKey(h.job, h.index, h.attempt));
+      this.hooks.gone(h, 'refused');
+    }
+    this.hooks.stir();
+  }
+
+  private async renewToken(m: Machine): Promise<void> {
+    while (
+      !this.stopped &&
+      this.machines.get(m.id) === m &&
+      [...m.held.values()].some((h) => h.phase === 'unsure')
+    ) {
+      try {
+        const version = await this.hooks.renewRecord(m);
+        m.version = version;
+        m.token = Math.max(m.token, version);
+        m.synced = false;
+        void this.contact(m, null);
+        return;
+      } catch {
+        await new Promise<void>((resolve) => {
+          this.clock.after(1000, resolve);
+        });
+      }
+    }
+  }
+
+  /** True when executed, false when the machine surely did not execute it. */
+  private async command(
+    m: Machine,
+    orders: Order[],
+    session = m.session,
+    executed: () => void = () => undefined,
+  ): Promise<boolean> {
+    const body = writeCommands(m.token, session, orders);
+    const answer = await this.http.request(m.addr, 'POST', WORKER_PATHS.commands, body, COMMAND_MS);
+    const r = readReport(answer.body);
+    if (answer.status === 200) executed();
+    if (r && r.machine === m.id && this.machines.get(m.id) === m && !this.stopped)
+      this.absorb(m, r, 'command');
+    return answer.status === 200;
+  }
+
+  private absorb(m: Machine, r: Report, via: Via): Absorbed {
+    if (r.session < m.minSession || r.session < m.session) return 'late';
+    if (r.session === m.session && r.seq <= m.seq) return 'late';
+    if (r.token > m.token) return 'foreign';
+    const now = this.clock.now();
+    const fresh = r.session > m.session;
+    if (fresh && m.session > 0) {
+      // A new session begins with no tasks.
+      this.dropAll(m);
+    }
+    m.session = r.session;
+    m.seq = r.seq;
+    m.addr = r.addr;
+    if (m.heardAt === null) this.hooks.stir();
+    m.heardAt = now;
+    if (m.lost) {
+      m.lost = false;
+      m.answeredAt = now;
+      this.hooks.stir();
+    }
+    if (via === 'report') m.unreachableAt = null;
+    if (r.noticeS !== null) {
+      const until = now + r.noticeS * 1000;
+      if (m.noticeUntil === null) this.hooks.stir();
+      m.noticeUntil = m.noticeUntil === null ? until : Math.min(m.noticeUntil, until);
+    }
+    if (r.token < m.token) return 'untokened';
+    if (!m.synced) {
+      m.synced = true;
+      this.hooks.stir();
+    }
+    this.reconcile(m, r, via);
+    m.unknown = false;
+    return 'ok';
+  }
+
+  private reconcile(m: Machine, r: Report, via: Via): void {
+    const now = this.clock.now();
+    const seen = new Set<string>();
+    for (const t of r.tasks) {
+      const key = heldKey(t.job, t.index, t.attempt);
+      seen.add(key);
+      let h = m.held.get(key);
+      const isNew = !h;
+      if (!h) {
+        h = {
+          job: t.job,
+          index: t.index,
+          attempt: t.attempt,
+          machine: m,
+          state: t.state,
+          cause: t.cause,
+          saved: t.saved,
+          phase: 'known',
+          token: m.token,
+          orderedAt: now,
+          runningAt: t.state === 'running' ? now : null,
+          exitedAt: t.state === 'exited' ? now : null,
+          stop: null,
+          settled: false,
+        };
+        m.held.set(key, h);
+        this.hooks.found(h);
+        continue;
+      }
+      if (h.phase !== 'sending') h.phase = 'known';
+      if (!isNew && (h.state !== t.state || h.cause !== t.cause)) {
+        h.state = t.state;
+        h.cause = t.cause;
+        h.saved = t.saved;
+        if (t.state === 'running' && h.runningAt === null) h.runningAt = now;
+        if (t.state === 'exited') h.exitedAt = now;
+        this.hooks.changed(h);
+      }
+    }
+    for (const [key, h] of [...m.held]) {
+      if (seen.has(key)) continue;
+      if (h.phase === 'sending') continue;
+      // An answer under way to the worker is not yet in what a direct command returns.
+      if (h.phase === 'answer' && via === 'command') continue;
+      if (h.phase === 'unsure' && h.token >= m.token) continue;
+      m.held.delete(key);
+      if (!(h.state === 'exited' && h.settled)) this.hooks.gone(h, h.phase === 'known' ? 'lost' : 'refused');
+    }
+    if (m.held.size === 0) m.idleSince ??= now;
+    else m.idleSince = null;
+  }
+
+  private pendingOrders(m: Machine): Order[] {
+    const orders: Order[] = [];
+    for (const h of m.held.values()) {
+      if (h.state === 'exited') {
+        if (h.settled) orders.push({ op: 'forget', job: h.job, index: h.index, attempt: h.attempt });
+      } else if (h.stop) {
+        orders.push(stopOrder(h));
+      }
+    }
+    return orders;
+  }
+}
+
+function stopOrder(h: Held): Order {
+  return { op: 'stop', job: h.job, index: h.index, attempt: h.attempt, graceS: h.stop?.graceS ?? 0 };
+}
--- /dev/null
+++ b/src/workers/machine.ts
@@ -0,0 +1,77 @@
+import type { ExitCause, TaskState } from '../wire/workers.js';
+
+/** A task attempt that is, or may be, on a machine. */
+export interface Held {
+  job: string;
+  index: number;
+  attempt: number;
+  machine: Machine;
+  state: TaskState;
+  cause: ExitCause | null;
+  saved: boolean;
+  /**
+   * How sure it is that the start arrived: `sending`: its command is under way. `answer`: it went with the answer to a
+   * report, and the next report tells. `unsure`: the command got no answer and may yet be executed, until the machine
+   * has a newer token or session. `known`: the machine has reported it.
+   */
+  phase: 'sending' | 'answer' | 'unsure' | 'known';
+  /** Token that the start was sent under. */
+  token: number;
+  orderedAt: number;
+  runningAt: number | null;
+  exitedAt: number | null;
+  stop: { graceS: number; since: number; sentAt: number; hard: boolean } | null;
+  /** The exit is recorded as far as it needs to be: the machine may forget it. */
+  settled: boolean;
+}
+
+export interface Machine {
+  id: string;
+  addr: string;
+  type: number;
+  zone: number;
+  spot: boolean;
+  leaving: boolean;
+  /** Version of its assignment record. */
+  version: number;
+  token: number;
+  session: number;
+  seq: number;
+  /** Reports of sessions before this one come late. */
+  minSession: number;
+  /** It has reported under the present token. */
+  synced: boolean;
+  /** It may hold tasks of an earlier owner's that nobody has reported. */
+  unknown: boolean;
+  /** Its lease counts from here at the latest. */
+  answeredAt: number;
+  heardAt: number | null;
+  /** Its lease surely ran out with no report since. */
+  lost: boolean;
+  rentedAt: number;
+  noticeUntil: number | null;
+  held: Map<string, Held>;
+  images: Map<number, number>;
+  idleSince: number | null;
+  unreachableAt: number | null;
+  errors: number;
+  closedUntil: number;
+  speed: { sum: number; count: number };
+}
+
+export function heldKey(job: string, index: number, attempt: number): string {
+  return `${job}/${index}#${attempt}`;
+}
+
+/** Notes that the machine has an image, and lets the least recently used ones go beyond its cache. */
+export function noteImage(m: Machine, image: number, gb: number, cacheGb: number): void {
+  m.images.delete(image);
+  m.images.set(image, gb);
+  let sum = 0;
+  for (const size of m.images.values()) sum += size;
+  for (const [oldest, size] of m.images) {
+    if (sum <= cacheGb || oldest === image) break;
+    m.images.delete(oldest);
+    sum -= size;
+  }
+}
