--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -216,6 +216,7 @@
       (shard, machine, to) => this.giveAway(shard, machine, to),
     );
     this.leader.start();
+    this.leader.listed(this.world.catalog.listed);
   }
 
   // --- what the cloud tells
--- /dev/null
+++ b/tests/cluster.test.ts
@@ -0,0 +1,228 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { FakeCluster, job, LEASE_S } from './support/cluster.js';
+
+const status = (body: unknown) => (body as { status: string }).status;
+
+async function started(cluster: FakeCluster, piece: string, withinMs = 10_000): Promise<boolean> {
+  return cluster.clock.until(() => cluster.workers.some((w) => w.on(piece)), withinMs);
+}
+
+test('a job is accepted, runs, is done and stays done after all controllers restarted', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  c.startNode('n1');
+  assert.ok(await c.submit('n1', job('wk-1')));
+  assert.ok(await started(c, 'wk-1/0'));
+  assert.equal(status((await c.call('n0', 'GET', '/api/jobs/wk-1')).body), 'running');
+  w.end('wk-1/0', 'done');
+  assert.ok(await c.clock.until(() => w.pieces.length === 0, 5000), 'cleared once it is durable');
+  assert.deepEqual((c.state.value('job/wk-1') as { final: string }).final, 'done');
+  for (const n of ['n0', 'n1']) {
+    c.killNode(n);
+    c.startNode(n);
+  }
+  await c.clock.advance(6000);
+  assert.equal(status((await c.call('n1', 'GET', '/api/jobs/wk-1')).body), 'done');
+  const repeat = await c.call('n0', 'POST', '/api/jobs', job('wk-1'));
+  assert.equal(repeat.status, 200);
+  assert.equal(status(repeat.body), 'done');
+  assert.equal((await c.call('n0', 'GET', '/api/jobs/wk-2')).status, 404);
+  assert.equal(w.started.length, 1);
+});
+
+test('an acceptance whose answer was lost is read back, not lost or made twice', async () => {
+  const c = new FakeCluster(['n0']);
+  c.addWorker('c8', 'a');
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-0')));
+  let lost = 0;
+  c.net.fate = (_from, _addr, _method, path, body) => {
+    if (path === '/txn' && lost === 0 && JSON.stringify(body).includes('job/wk-1')) {
+      lost++;
+      return 'lost-answer';
+    }
+    return 'deliver';
+  };
+  const reply = await c.call('n0', 'POST', '/api/jobs', job('wk-1'));
+  assert.equal(lost, 1);
+  assert.equal(reply.status, 201);
+  assert.ok(await started(c, 'wk-1/0'));
+});
+
+test('an acceptance that the network applies late still runs once its user asks again', async () => {
+  const c = new FakeCluster(['n0']);
+  c.addWorker('c8', 'a');
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-0')));
+  c.net.fate = (_f, _a, _m, path, body) =>
+    path === '/txn' && JSON.stringify(body).includes('job/wk-1') && c.net.held.length === 0
+      ? 'hold'
+      : 'deliver';
+  assert.equal((await c.call('n0', 'POST', '/api/jobs', job('wk-1'))).status, 503);
+  await c.net.release();
+  assert.equal((await c.call('n0', 'POST', '/api/jobs', job('wk-1'))).status, 200);
+  assert.ok(await started(c, 'wk-1/0'));
+});
+
+test('a new owner starts nothing anew while an old owner’s order may be held', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  const first = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  c.startNode('n1');
+  await c.clock.advance(4000);
+  // The start goes out, but the network holds it, and the machine is cut off.
+  c.net.fate = (_f, addr, _m, path, body) =>
+    addr === first.addr
+      ? path === '/do' && JSON.stringify(body).includes('wk-1')
+        ? 'hold'
+        : 'silent'
+      : 'deliver';
+  assert.ok(await c.submit('n0', job('wk-1')));
+  assert.ok(await c.clock.until(() => c.net.held.length === 1, 5000));
+  c.silent.add(first);
+  const second = c.addWorker('c8', 'a');
+  const owner = [...c.nodes].find(([, r]) => r.node.members.owner(0)?.node === 'n0') ? 'n0' : 'n1';
+  c.killNode(owner);
+  const cutAt = c.clock.now();
+  c.startNode(owner);
+  await c.clock.advance(9000);
+  assert.equal(second.started.length, 0, 'not before the first machine has surely dropped it');
+  await c.net.release();
+  assert.ok(first.on('wk-1/0'), 'the held order was executed');
+  await c.clock.advance(cutAt + LEASE_S * 1000 - 500 - c.clock.now());
+  assert.equal(second.started.length, 0);
+  assert.ok(await started(c, 'wk-1/0', 15_000));
+  assert.ok(second.on('wk-1/0') || second.started.length > 0);
+});
+
+test('an order held back is void once the machine has a newer token', async () => {
+  const c = new FakeCluster(['n0']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  await c.clock.advance(4000);
+  c.net.fate = (_f, _a, _m, path, body) =>
+    path === '/do' && JSON.stringify(body).includes('wk-1') && c.net.held.length === 0 ? 'hold' : 'deliver';
+  assert.ok(await c.submit('n0', job('wk-1')));
+  assert.ok(await c.clock.until(() => c.net.held.length === 1, 3000));
+  const before = w.baton;
+  assert.ok(await started(c, 'wk-1/0', 10_000));
+  assert.ok(w.baton > before, 'the start was repeated only under a newer token');
+  await c.net.release();
+  assert.equal(w.started.length, 1);
+});
+
+test('reports are not answered with 200 once the lease may have run out, and are again after the outage', async () => {
+  const c = new FakeCluster(['n0']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-1')));
+  assert.ok(await started(c, 'wk-1/0'));
+  c.state.down = true;
+  await c.clock.advance(8500);
+  const during = await c.nodes.get('n0')!.api.handle({
+    method: 'POST',
+    path: '/v1/report',
+    query: new URLSearchParams(),
+    headers: new Map(),
+    body: Buffer.from(JSON.stringify(w.report())),
+  });
+  assert.equal(during.status, 503);
+  c.state.restore();
+  await c.clock.advance(5000);
+  assert.ok(w.on('wk-1/0'), 'the task lives through the outage');
+  assert.equal(w.started.length, 1);
+});
+
+test('a cancelled job is stopped, also when its start was still in flight', async () => {
+  const c = new FakeCluster(['n0']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  await c.clock.advance(4000);
+  c.net.fate = (_f, _a, _m, path, body) =>
+    path === '/do' && JSON.stringify(body).includes('"run"') && c.net.held.length === 0 ? 'hold' : 'deliver';
+  assert.ok(await c.submit('n0', job('wk-1')));
+  await c.clock.until(() => c.net.held.length === 1, 3000);
+  const reply = await c.call('n0', 'POST', '/api/jobs/wk-1/abort');
+  assert.equal(reply.status, 200);
+  assert.equal(status(reply.body), 'aborted');
+  await c.net.release();
+  await c.clock.advance(8000);
+  assert.ok(!w.on('wk-1/0'));
+  assert.equal(status((await c.call('n0', 'GET', '/api/jobs/wk-1')).body), 'aborted');
+  assert.equal(status((await c.call('n0', 'POST', '/api/jobs', job('wk-1'))).body), 'aborted');
+});
+
+test('a gang starts as one attempt, and after losing a task again only when all of it is gone', async () => {
+  const c = new FakeCluster(['n0']);
+  const a = c.addWorker('c8', 'a');
+  const b = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  await c.clock.advance(6000);
+  assert.ok(await c.submit('n0', job('wk-1', { shape: 'ensemble', pieces: 2, cpus: 8, oneZone: true })));
+  assert.ok(await c.clock.until(() => a.pieces.length === 1 && b.pieces.length === 1, 15_000));
+  const attempt = a.pieces[0]!.try;
+  assert.equal(b.pieces[0]!.try, attempt);
+  a.end(a.pieces[0]!.piece, 'error');
+  assert.ok(
+    await c.clock.until(() => !b.pieces.some((p) => p.try === attempt && p.status !== 'ended'), 5000),
+  );
+  const again = () => [a, b].every((w) => w.pieces.some((p) => p.try !== attempt && p.status === 'running'));
+  assert.ok(await c.clock.until(again, 30_000));
+});
+
+test('what unreachable machines may hold counts against the team’s limit', async () => {
+  const c = new FakeCluster(['n0']);
+  const machines = [1, 2, 3, 4].map(() => c.addWorker('c8', 'a'));
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-1', { pieces: 4, cpus: 8 })));
+  assert.ok(await c.clock.until(() => machines.every((w) => w.pieces.length === 1), 15_000));
+  // All 32 CPUs that the team may use are taken; then one machine is cut off and the controller restarts.
+  const cut = machines[0]!;
+  c.silent.add(cut);
+  c.net.fate = (_f, addr) => (addr === cut.addr ? 'silent' : 'deliver');
+  c.killNode('n0');
+  const fresh = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-2', { cpus: 8 })));
+  await c.clock.advance(10_000);
+  assert.equal(fresh.started.length, 0, 'the cut machine’s task may still run');
+  assert.ok(await c.clock.until(() => fresh.started.length === 1, 30_000), 'its lease ran out');
+});
+
+test('machines rented late are taken in, and an empty machine goes to the shard where tasks wait', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  c.startNode('n0');
+  c.startNode('n1');
+  assert.ok(await c.submit('n0', job('wk-1', { cpus: 8, loaner: false })));
+  await c.clock.advance(3000);
+  assert.ok(c.rented.length > 0);
+  assert.equal(
+    new Set(c.rented.map((r) => r.booking)).size,
+    c.rented.length,
+    'no request name is used twice',
+  );
+  // Strays: nobody knows of them but their own reports, and all but one are no use to the team's shard at first.
+  c.addWorker('g8', 'a');
+  c.addWorker('g8', 'a');
+  const w = c.addWorker('c8', 'b');
+  assert.ok(await started(c, 'wk-1/0', 30_000));
+  assert.ok(c.workers.some((x) => x.on('wk-1/0')));
+  assert.ok(w.baton > 0);
+});
+
+test('a machine being returned is marked first, and its release is repeated after a lost answer', async () => {
+  const c = new FakeCluster(['n0']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  let lost = 0;
+  c.net.fate = (_f, _a, _m, path) => {
+    if (path !== '/machines/release') return 'deliver';
+    assert.equal((c.state.value(`c/m/${w.id}`) as { state: string }).state, 'leaving');
+    return lost++ === 0 ? 'hold' : 'deliver';
+  };
+  assert.ok(await c.clock.until(() => c.released.includes(w.id), 300_000));
+  assert.equal(lost, 2);
+  assert.ok(await c.clock.until(() => c.state.value(`c/m/${w.id}`) === undefined, 5000));
+});
--- /dev/null
+++ b/tests/support/cluster.ts
@@ -0,0 +1,268 @@
+import pino from 'pino';
+import { Api } from '../../src/api/routes.js';
+import { Cloud } from '../../src/cloud/cloud.js';
+import type { Settings } from '../../src/config/settings.js';
+import type { HttpReply } from '../../src/http/server.js';
+import type { Mesh } from '../../src/peer/mesh.js';
+import { ControllerNode } from '../../src/shards/node.js';
+import { Catalog, Names, type World } from '../../src/shards/world.js';
+import { StateStore } from '../../src/state/store.js';
+import { FakeClock } from './clock.js';
+import { FakeNet, type Served } from './net.js';
+import { FakeState } from './state.js';
+import { FakeWorker } from './worker.js';
+
+const STATE = '10.2.0.1:2379';
+const CLOUD = '10.2.0.2:8443';
+export const LEASE_S = 20;
+
+interface Running {
+  node: ControllerNode;
+  api: Api;
+  cut: boolean;
+  stopped: { value: boolean };
+}
+
+function settings(name: string, names: string[]): Settings {
+  return {
+    node: name,
+    zone: 'a',
+    listen: { host: '127.0.0.1', port: 1 },
+    peerListen: { host: '127.0.0.1', port: 2 },
+    peers: names.filter((n) => n !== name).map((n) => ({ node: n, zone: 'a', addr: n })),
+    cloud: CLOUD,
+    state: STATE,
+    nodes: names.length,
+    zones: ['a', 'b'],
+    skewMs: 1000,
+    teams: [{ name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 }],
+    objectives: [],
+    workers: { reportS: 3, leaseS: LEASE_S, gangWaitS: 40, gangPeerS: 5, cancelS: 45 },
+    stateLimits: { rps: 600, writeRps: 300, valueKb: 8, txnOps: 16 },
+    cloudLimits: { rps: 30, listLagS: 6 },
+    limits: { cores: 0.2, memoryMb: 200, maxSockets: 500 },
+  };
+}
+
+/** Controllers, state service, cloud and workers on one fake clock, all of them scripted but the controllers. */
+export class FakeCluster {
+  readonly clock = new FakeClock();
+  readonly net = new FakeNet(this.clock);
+  readonly state = new FakeState(this.clock);
+  readonly nodes = new Map<string, Running>();
+  readonly workers: FakeWorker[] = [];
+  readonly rented: { booking: string; flavor: string; yard: string; loaner: boolean; count: number }[] = [];
+  readonly released: string[] = [];
+  /** Which node each worker reports to. */
+  private readonly reportsTo = new Map<FakeWorker, string>();
+  readonly silent = new Set<FakeWorker>();
+  capacity = false;
+  private runs = 0;
+
+  constructor(private readonly names: string[]) {
+    this.net.peers.set(STATE, (m, p, b) => this.state.serve(m, p, b));
+    this.net.peers.set(CLOUD, (m, p, b) => this.cloud(m, p, b));
+    this.reportLoop();
+  }
+
+  addWorker(flavor: string, yard: string, loaner = false): FakeWorker {
+    const n = this.workers.length + 1;
+    const worker = new FakeWorker(
+      this.clock,
+      `m-${String(n).padStart(6, '0')}`,
+      `10.1.0.${n}:9000`,
+      flavor,
+      yard,
+      LEASE_S,
+      loaner,
+    );
+    this.net.peers.set(worker.addr, (m, p, b) => worker.serve(m, p, b));
+    this.workers.push(worker);
+    return worker;
+  }
+
+  startNode(name: string): Running {
+    const http = this.net.requester(name);
+    const names = new Names();
+    const s = settings(name, this.names);
+    for (const t of s.teams) names.teams.index(t.name);
+    const stopped = { value: false };
+    // A process that was killed runs nothing any more.
+    const clock = {
+      now: () => this.clock.now(),
+      wall: () => this.clock.wall(),
+      after: (ms: number, run: () => void) => this.clock.after(ms, () => (stopped.value ? undefined : run())),
+    };
+    const world: World = {
+      clock,
+      settings: s,
+      log: pino({ level: 'silent' }),
+      http: {
+        request: (...args) => (stopped.value ? new Promise(() => undefined) : http.request(...args)),
+      },
+      store: null as unknown as StateStore,
+      cloud: null as unknown as Cloud,
+      names,
+      catalog: new Catalog(names),
+      run: `${name}-${++this.runs}`,
+    };
+    world.store = new StateStore(clock, world.http, STATE, { rps: 600, writeRps: 300, nodes: 1 });
+    world.cloud = new Cloud(clock, world.http, CLOUD, 30, 1);
+    const node = new ControllerNode(world);
+    const running: Running = { node, api: new Api(world, node), cut: false, stopped };
+    this.nodes.set(name, running);
+    void node.start(this.mesh(name, running));
+    return running;
+  }
+
+  killNode(name: string): void {
+    const running = this.nodes.get(name);
+    if (running) running.stopped.value = true;
+    this.nodes.delete(name);
+  }
+
+  async call(node: string, method: string, path: string, body: object | null = null): Promise<HttpReply> {
+    const running = this.nodes.get(node)!;
+    let reply: HttpReply | null = null;
+    void running.api
+      .handle({
+        method,
+        path,
+        query: new URLSearchParams(),
+        headers: new Map(),
+        body: Buffer.from(body === null ? '' : JSON.stringify(body)),
+      })
+      .then((r) => {
+        reply = r;
+      });
+    await this.clock.until(() => reply !== null, 6000);
+    return reply ?? { status: 504 };
+  }
+
+  /** Submits until accepted, as users do. */
+  async submit(node: string, job: object): Promise<boolean> {
+    for (let i = 0; i < 30; i++) {
+      const reply = await this.call(node, 'POST', '/api/jobs', job);
+      if (reply.status === 201 || reply.status === 200) return true;
+      await this.clock.advance(1000);
+    }
+    return false;
+  }
+
+  private mesh(from: string, running: Running): Mesh {
+    return {
+      ask: async (to, op, args) => {
+        const target = this.nodes.get(to);
+        if (!target || target.cut || running.cut) throw new Error('not connected');
+        return target.node.serve(op, JSON.parse(JSON.stringify(args)));
+      },
+      tell: (to, op, args) => {
+        const target = this.nodes.get(to);
+        if (!target || target.cut || running.cut || running.stopped.value) return;
+        void target.node.serve(op, JSON.parse(JSON.stringify(args))).catch(() => from);
+      },
+    };
+  }
+
+  private reportLoop(): void {
+    for (const w of this.workers) if (!this.silent.has(w)) this.reportOnce(w);
+    this.clock.after(1000, () => this.reportLoop());
+  }
+
+  private reportOnce(w: FakeWorker): void {
+    const at = this.reportsTo.get(w) ?? this.names[0]!;
+    const next = this.names[(this.names.indexOf(at) + 1) % this.names.length]!;
+    const running = this.nodes.get(at);
+    const sent = this.clock.now();
+    if (!running || running.cut) {
+      this.reportsTo.set(w, next);
+      return;
+    }
+    void running.api
+      .handle({
+        method: 'POST',
+        path: '/v1/report',
+        query: new URLSearchParams(),
+        headers: new Map(),
+        body: Buffer.from(JSON.stringify(w.report())),
+      })
+      .then((reply) => {
+        if (reply.status === 200) w.answer(JSON.parse(JSON.stringify(reply.body)), sent);
+        else this.reportsTo.set(w, (reply.body as { foreman?: string } | undefined)?.foreman ?? next);
+      });
+  }
+
+  private cloud(method: string, path: string, body: unknown): Served {
+    if (path === '/flavors') {
+      const flavor = (label: string, cpus: number, cards: number) => ({
+        label,
+        cpus,
+        cards,
+        memoryGb: cpus * 4,
+        localGb: 100,
+        pullGbPerS: 1,
+        price: cpus / 10,
+        lowPrice: cpus / 30,
+        readyS: 30,
+        yards: ['a', 'b'],
+      });
+      return { status: 200, body: { flavors: [flavor('c8', 8, 0), flavor('g8', 8, 2)] } };
+    }
+    if (path === '/machines' && method === 'POST') {
+      const r = body as (typeof this.rented)[number];
+      this.rented.push(r);
+      if (!this.capacity) return { status: 503, body: { error: 'no capacity' } };
+      const workers: string[] = [];
+      for (let i = 0; i < r.count; i++) {
+        const w = this.addWorker(r.flavor, r.yard, r.loaner);
+        this.silent.add(w);
+        workers.push(w.id);
+      }
+      return { status: 200, body: { workers } };
+    }
+    if (path === '/machines/release') {
+      for (const id of (body as { workers: string[] }).workers) {
+        this.released.push(id);
+        const w = this.workers.find((x) => x.id === id);
+        if (w) this.workers.splice(this.workers.indexOf(w), 1);
+      }
+      return { status: 200, body: {} };
+    }
+    const workers = this.workers.map((w) => ({
+      id: w.id,
+      addr: w.addr,
+      flavor: w.flavor,
+      yard: w.yard,
+      loaner: w.loaner,
+      status: 'running',
+      heldS: 100,
+    }));
+    return { status: 200, body: { workers, more: false } };
+  }
+}
+
+export function job(id: string, change: object = {}): object {
+  return {
+    id,
+    jobClass: 'train',
+    owner: 'red',
+    shape: 'sweep',
+    urgency: 'standard',
+    pieces: 1,
+    cpus: 4,
+    cards: 0,
+    memoryGb: 4,
+    bundle: 'img',
+    pullGb: 1,
+    flavors: null,
+    yard: null,
+    oneZone: false,
+    spread: false,
+    loaner: true,
+    expectedS: 60,
+    saveEveryS: 10,
+    savingS: 2,
+    dueS: null,
+    ...change,
+  };
+}
--- /dev/null
+++ b/tests/support/net.ts
@@ -0,0 +1,62 @@
+import type { Clock } from '../../src/clock/clock.js';
+import { type HttpAnswer, HttpFailure, type Requester } from '../../src/http/client.js';
+
+export interface Served {
+  status: number;
+  body: unknown;
+}
+
+export type Peer = (method: string, path: string, body: unknown) => Served | Promise<Served>;
+
+/** What becomes of a request: `lost-answer` executes it, `hold` keeps it until the test lets it go. */
+export type Fate = 'deliver' | 'refuse' | 'silent' | 'lost-answer' | 'hold';
+
+/** A network of scripted peers; a test decides the fate of each request. */
+export class FakeNet {
+  readonly peers = new Map<string, Peer>();
+  readonly held: { addr: string; method: string; path: string; body: unknown; from: string }[] = [];
+  fate: (from: string, addr: string, method: string, path: string, body: unknown) => Fate = () => 'deliver';
+
+  constructor(private readonly clock: Clock) {}
+
+  requester(from: string): Requester {
+    return {
+      request: (addr, method, path, body, timeoutMs) =>
+        this.request(from, addr, method, path, body, timeoutMs),
+    };
+  }
+
+  /** Delivers what was held, to nobody's knowledge. */
+  async release(): Promise<void> {
+    for (const h of this.held.splice(0)) await this.peers.get(h.addr)?.(h.method, h.path, h.body);
+  }
+
+  private async request(
+    from: string,
+    addr: string,
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<HttpAnswer> {
+    const copy: unknown = body === null ? null : JSON.parse(JSON.stringify(body));
+    const fate = this.fate(from, addr, method, path, copy);
+    const peer = this.peers.get(addr);
+    if (fate === 'refuse' || !peer) throw new HttpFailure('refused', false);
+    if (fate === 'hold') this.held.push({ addr, method, path, body: copy, from });
+    if (fate === 'lost-answer') void peer(method, path, copy);
+    if (fate !== 'deliver') {
+      await new Promise<void>((resolve) => {
+        this.clock.after(timeoutMs, resolve);
+      });
+      throw new HttpFailure('timeout', true);
+    }
+    return new Promise((resolve, reject) => {
+      const timer = this.clock.after(timeoutMs, () => reject(new HttpFailure('timeout', true)));
+      void Promise.resolve(peer(method, path, copy)).then((served) => {
+        timer.cancel();
+        resolve({ ...served, headers: new Map() });
+      });
+    });
+  }
+}
