--- a/tests/support/worker.ts
+++ b/tests/support/worker.ts
@@ -81,6 +81,7 @@
   }
 
   on(piece: string): boolean {
+    this.checkLease();
     return this.pieces.some((p) => p.piece === piece && p.status !== 'ended');
   }
 
