--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -19,8 +19,9 @@
 const ACT_MS = 250;
 const GOSSIP_MS = 4000;
 const GIVEN_MS = 2500;
-/** A machine just rented is in the list before its owner has recorded it. */
-const STRAY_GRACE_MS = 8000;
+/** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
+const STRAY_GRACE_MS = 400;
+const BOOTING_GRACE_MS = 8000;
 
 /**
  * The leader's work: it parts teams and unassigned machines among the shards and moves empty machines to where tasks
@@ -57,8 +58,10 @@
   /** A machine that no record names has reported. */
   seen(stray: Stray): void {
     const known = this.strays.get(stray.id);
-    if (known) known.reported = true;
-    else this.strays.set(stray.id, { stray, since: this.world.clock.now(), reported: true });
+    if (known) {
+      if (!known.reported) known.since = this.world.clock.now();
+      known.reported = true;
+    } else this.strays.set(stray.id, { stray, since: this.world.clock.now(), reported: true });
   }
 
   listed(machines: ListedMachine[]): void {
@@ -67,7 +70,7 @@
     for (const m of machines) {
       if (m.state === 'failed' || this.mirror.entries.has(KEYS.machine(m.id)) || this.strays.has(m.id))
         continue;
-      this.strays.set(m.id, { stray: { ...m }, since: now, reported: false });
+      this.strays.set(m.id, { stray: { ...m }, since: now, reported: m.state === 'running' });
     }
     for (const [id, s] of this.strays) if (!s.reported && !names.has(id)) this.strays.delete(id);
   }
@@ -122,7 +125,7 @@
     const due: Stray[] = [];
     for (const [id, s] of this.strays) {
       if (this.mirror.entries.has(KEYS.machine(id))) this.strays.delete(id);
-      else if (s.stray.ageS > 20 || now - s.since > STRAY_GRACE_MS) due.push(s.stray);
+      else if (now - s.since >= (s.reported ? STRAY_GRACE_MS : BOOTING_GRACE_MS)) due.push(s.stray);
     }
     if (due.length === 0 || !this.mirror.entries.has(KEYS.teams)) return;
     this.dealing = true;
