--- a/src/main.ts
+++ b/src/main.ts
@@ -48,6 +48,7 @@
     cloud: new Cloud(clock, http, settings.cloud, settings.cloudLimits.rps, settings.nodes),
     names,
     catalog: new Catalog(names),
+    goneMachines: new Map(),
     run: `${settings.node}-${randomUUID().slice(0, 13)}`,
   };
   const node = new ControllerNode(world);
--- /dev/null
+++ b/src/plan/preempt.ts
@@ -0,0 +1,75 @@
+import { type Amounts, fitCount } from './profile.js';
+
+/** A task that may be stopped to make room. */
+export interface Victim<T> {
+  ref: T;
+  need: Amounts;
+  sameTeam: boolean;
+  /** Work that stopping it loses, in seconds. */
+  loss: number;
+}
+
+export interface PreemptMachine<T> {
+  /** Not needed by anything at present. */
+  free: Amounts;
+  victims: Victim<T>[];
+}
+
+export interface PreemptWish {
+  need: Amounts;
+  count: number;
+  /** What the team may still use before its limit. */
+  teamLeft: Amounts;
+}
+
+function add(to: Amounts, by: Amounts): Amounts {
+  return { cpus: to.cpus + by.cpus, gpus: to.gpus + by.gpus, memoryGb: to.memoryGb + by.memoryGb };
+}
+
+/**
+ * Which tasks to stop so that `count` tasks find room, on their machines and within their team's limit: those that lose
+ * the least, and none when it would not suffice. Null when it cannot be done.
+ */
+export function chooseVictims<T>(wish: PreemptWish, machines: readonly PreemptMachine<T>[]): T[] | null {
+  const chosen = new Set<Victim<T>>();
+  let left = wish.count;
+  const offers = machines
+    .map((m) => offer(m, wish.need))
+    .filter((o) => o !== null)
+    .sort((a, b) => a.loss - b.loss);
+  for (const o of offers) {
+    if (left <= 0) break;
+    for (const v of o.victims) chosen.add(v);
+    left -= Math.min(left, fitCount(o.room, wish.need, left));
+  }
+  if (left > 0) return null;
+  let teamLeft = wish.teamLeft;
+  for (const v of chosen) if (v.sameTeam) teamLeft = add(teamLeft, v.need);
+  const own = machines
+    .flatMap((m) => m.victims)
+    .filter((v) => v.sameTeam && !chosen.has(v))
+    .sort((a, b) => a.loss - b.loss);
+  const fits = () => fitCount(teamLeft, { ...wish.need, memoryGb: 0 }, wish.count) >= wish.count;
+  for (const v of own) {
+    if (fits()) break;
+    chosen.add(v);
+    teamLeft = add(teamLeft, v.need);
+  }
+  return fits() ? [...chosen].map((v) => v.ref) : null;
+}
+
+/** The cheapest stops that make room for one task on a machine, and what room there is then. */
+function offer<T>(
+  m: PreemptMachine<T>,
+  need: Amounts,
+): { victims: Victim<T>[]; room: Amounts; loss: number } | null {
+  const victims: Victim<T>[] = [];
+  let room = m.free;
+  for (const v of [...m.victims].sort((a, b) => a.loss - b.loss)) {
+    if (fitCount(room, need, 1) > 0) break;
+    victims.push(v);
+    room = add(room, v.need);
+  }
+  if (fitCount(room, need, 1) === 0) return null;
+  return { victims, room, loss: victims.reduce((sum, v) => sum + 1 + v.loss, 0) };
+}
--- a/src/shards/gossip.ts
+++ b/src/shards/gossip.ts
@@ -1,18 +1,20 @@
 import * as v from 'valibot';
 
 /** What owners tell the leader about their shards. */
+const spare = v.object({
+  id: v.string(),
+  type: v.string(),
+  zone: v.string(),
+  spot: v.boolean(),
+  images: v.array(v.string()),
+});
+
 const gossip = v.object({
   shard: v.number(),
   node: v.string(),
-  spares: v.array(
-    v.object({
-      id: v.string(),
-      type: v.string(),
-      zone: v.string(),
-      spot: v.boolean(),
-      images: v.array(v.string()),
-    }),
-  ),
+  spares: v.array(spare),
+  /** Machines that hold nothing above a priority. */
+  soft: v.array(v.object({ ...spare.entries, top: v.number() })),
   needs: v.array(
     v.object({
       types: v.nullable(v.array(v.string())),
@@ -24,6 +26,7 @@
       count: v.number(),
       priority: v.number(),
       deadline: v.number(),
+      waitS: v.number(),
     }),
   ),
 });
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -1,6 +1,7 @@
 import { fitCount } from '../plan/profile.js';
 import { StateFailure } from '../state/store.js';
 import type { ListedMachine } from '../wire/cloud.js';
+import { PRIORITY } from '../wire/users.js';
 import type { Gossip, Need, Spare } from './gossip.js';
 import { KEYS, type MachineRecord, readTeams } from './keys.js';
 import type { Mirror } from './mirror.js';
@@ -19,6 +20,9 @@
 const ACT_MS = 250;
 const GOSSIP_MS = 4000;
 const GIVEN_MS = 2500;
+/** Lesser work elsewhere is stopped for urgent tasks only when they would wait longer than this, one machine at a time. */
+const CLEAR_WAIT_S = 8;
+const CLEAR_PAUSE_MS = 700;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
 const STRAY_GRACE_MS = 400;
 const BOOTING_GRACE_MS = 8000;
@@ -40,6 +44,12 @@
     private readonly mirror: Mirror,
     private readonly valid: () => boolean,
     private readonly giveAway: (shard: number, machine: string, to: number) => Promise<boolean>,
+    private readonly vacate: (
+      shard: number,
+      machine: string,
+      to: number,
+      priority: number,
+    ) => Promise<boolean>,
   ) {}
 
   start(): void {
@@ -66,8 +76,11 @@
 
   listed(machines: ListedMachine[]): void {
     const now = this.world.clock.now();
+    const buried = now - Math.max(30_000, this.world.settings.cloudLimits.listLagS * 5000);
     const names = new Set(machines.map((m) => m.id));
     for (const m of machines) {
+      // The list is late: it still shows machines that have just been given back.
+      if ((this.world.goneMachines.get(m.id) ?? Number.NEGATIVE_INFINITY) > buried) continue;
       if (m.state === 'failed' || this.mirror.entries.has(KEYS.machine(m.id)) || this.strays.has(m.id))
         continue;
       this.strays.set(m.id, { stray: { ...m }, since: now, reported: m.state === 'running' });
@@ -211,14 +224,21 @@
     const now = this.world.clock.now();
     for (const [id, at] of this.given) if (now - at > GIVEN_MS) this.given.delete(id);
     const fresh = [...this.gossip.values()].filter((g) => now - g.at < GOSSIP_MS).map((g) => g.told);
-    for (const m of matchSpares(fresh, (type) =>
-      this.world.catalog.size(this.world.names.types.index(type)),
-    )) {
+    const sizeOf = (type: string) => this.world.catalog.size(this.world.names.types.index(type));
+    for (const m of matchSpares(fresh, sizeOf)) {
       if (this.given.has(m.machine)) continue;
       this.given.set(m.machine, now);
       void this.giveAway(m.from, m.machine, m.to).catch(() => undefined);
     }
+    if (now - this.clearedAt < CLEAR_PAUSE_MS) return;
+    const clear = chooseClearing(fresh, sizeOf);
+    if (!clear || this.given.has(clear.machine)) return;
+    this.clearedAt = now;
+    this.given.set(clear.machine, now);
+    void this.vacate(clear.from, clear.machine, clear.to, clear.priority).catch(() => undefined);
   }
+
+  private clearedAt = Number.NEGATIVE_INFINITY;
 }
 
 export interface Move {
@@ -264,6 +284,29 @@
   return moves;
 }
 
+/** A machine with nothing but lesser work, for the most urgent tasks that would wait long in their own shard. */
+export function chooseClearing(
+  told: readonly Gossip[],
+  sizeOf: (type: string) => { cpus: number; gpus: number; memoryGb: number },
+): (Move & { priority: number }) | null {
+  const needs = told
+    .flatMap((g) => g.needs.map((need) => ({ shard: g.shard, need })))
+    .filter((n) => n.need.priority >= PRIORITY.high && n.need.waitS > CLEAR_WAIT_S)
+    .sort((a, b) => b.need.priority - a.need.priority || a.need.deadline - b.need.deadline);
+  for (const { shard, need } of needs) {
+    const soft = told
+      .filter((g) => g.shard !== shard)
+      .flatMap((g) => g.soft.map((s) => ({ shard: g.shard, s })))
+      .filter(
+        (x) => x.s.top < need.priority && spareFits(x.s, need) && fitCount(sizeOf(x.s.type), need, 1) > 0,
+      )
+      .sort((a, b) => a.s.top - b.s.top || waste(a.s, need, sizeOf) - waste(b.s, need, sizeOf));
+    const first = soft[0];
+    if (first) return { machine: first.s.id, from: first.shard, to: shard, priority: need.priority };
+  }
+  return null;
+}
+
 function waste(s: Spare, need: Need, sizeOf: (type: string) => { gpus: number }): number {
   return need.gpus === 0 ? sizeOf(s.type).gpus : 0;
 }
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -26,6 +26,7 @@
 const ADOPT_AFTER_MS = 1500;
 const HAND_BACK_AFTER_MS = 6000;
 const ROUTES_KEPT = 20_000;
+const GONE_KEPT = 2000;
 
 /** One controller: the shards it owns, the leadership when it has it, and the way to everybody else's. */
 export class ControllerNode {
@@ -72,6 +73,14 @@
     if (key.startsWith(KEYS.machines)) {
       const id = key.slice(KEYS.machines.length);
       for (const shard of this.shards.values()) shard.machineRecord(id, entry);
+      if (!entry) this.bury(id);
+    }
+  }
+
+  private bury(id: string): void {
+    this.world.goneMachines.set(id, this.world.clock.now());
+    if (this.world.goneMachines.size > GONE_KEPT) {
+      this.world.goneMachines.delete(this.world.goneMachines.keys().next().value!);
     }
   }
 
@@ -214,6 +223,7 @@
       this.members.mirror,
       () => this.members.valid,
       (shard, machine, to) => this.giveAway(shard, machine, to),
+      (shard, machine, to, priority) => this.vacate(shard, machine, to, priority),
     );
     this.leader.start();
     this.leader.listed(this.world.catalog.listed);
@@ -290,6 +300,14 @@
     return (await this.mesh?.ask(owner.node, 'give', { shard, machine, to }, ASK_MS)) === true;
   }
 
+  private async vacate(shard: number, machine: string, to: number, priority: number): Promise<boolean> {
+    const local = this.shards.get(shard);
+    if (local) return local.vacate(machine, to, priority);
+    const owner = this.members.owner(shard);
+    if (!owner) return false;
+    return (await this.mesh?.ask(owner.node, 'vacate', { shard, machine, to, priority }, ASK_MS)) === true;
+  }
+
   /** What another controller asks. */
   async serve(op: string, args: unknown): Promise<unknown> {
     const a = (typeof args === 'object' && args !== null ? args : {}) as Record<string, unknown>;
@@ -306,6 +324,10 @@
         const shard = this.shards.get(Number(a.shard));
         return shard ? shard.give(String(a.machine), Number(a.to)) : false;
       }
+      case 'vacate': {
+        const shard = this.shards.get(Number(a.shard));
+        return shard ? shard.vacate(String(a.machine), Number(a.to), Number(a.priority)) : false;
+      }
       case 'submit': {
         const spec = readSpec(a.spec);
         if (!spec) throw new Error('bad job');
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -3,11 +3,12 @@
 import { type Job, type JobEntry, jobStatus, makeJob, openCount, openTasks } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
 import { type HeldBooking, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
+import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import { chooseRental, type RentOption, type Shortage } from '../plan/rent.js';
 import { StateFailure } from '../state/store.js';
 import type { Condition, Entry } from '../wire/state.js';
-import type { JobSpec, JobStatus } from '../wire/users.js';
+import { type JobSpec, type JobStatus, PRIORITY } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
 import { Fleet, type StartOrder } from '../workers/fleet.js';
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
@@ -57,6 +58,11 @@
 const NO_CAPACITY_MS = 30_000;
 const SILENT_RETURN_MS = 120_000;
 const ATTEMPTS_PER_TERM = 2 ** 20;
+/** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
+const PREEMPT_WAIT_S = 2;
+const PREEMPT_PAUSE_MS = 12_000;
+/** A machine promised to another shard is cleared by then, or kept. */
+const PROMISE_MS = 15_000;
 const MAX_PENDING_RENTALS = 12;
 
 /** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
@@ -81,6 +87,8 @@
   private readonly rentals = new Set<PendingRental>();
   private readonly ratios = new Map<string, { log: number; count: number }>();
   private readonly moving = new Set<string>();
+  private readonly preemptedAt = new Map<string, number>();
+  private readonly promised = new Map<string, { to: number; until: number }>();
 
   constructor(
     private readonly world: World,
@@ -275,9 +283,10 @@
   }
 
   /** Gives an empty machine to another shard. False when it is not to be had. */
-  async give(id: string, to: number): Promise<boolean> {
+  async give(id: string, to: number, promised = false): Promise<boolean> {
     const m = this.fleet.machines.get(id);
-    if (!m || !this.ready || !this.isSpare(m) || this.moving.has(id)) return false;
+    if (!m || !this.ready || this.moving.has(id)) return false;
+    if (promised ? !this.isEmpty(m) : !this.isSpare(m)) return false;
     this.moving.add(id);
     try {
       await this.writeRecord(m, { shard: to });
@@ -293,15 +302,11 @@
   }
 
   private isSpare(m: Machine): boolean {
-    return (
-      m.synced &&
-      !m.leaving &&
-      !m.lost &&
-      !m.unknown &&
-      m.held.size === 0 &&
-      m.noticeUntil === null &&
-      !this.booked.has(m.id)
-    );
+    return this.isEmpty(m) && !this.booked.has(m.id) && !this.promised.has(m.id);
+  }
+
+  private isEmpty(m: Machine): boolean {
+    return m.synced && !m.leaving && !m.lost && !m.unknown && m.held.size === 0 && m.noticeUntil === null;
   }
 
   // --- reports
@@ -628,7 +633,7 @@
     const reportMs = this.world.settings.workers.reportS * 1000;
     for (const m of this.fleet.machines.values()) {
       const type = this.world.catalog.get(m.type);
-      if (m.leaving || m.lost || !type || this.moving.has(m.id)) continue;
+      if (m.leaving || m.lost || !type || this.moving.has(m.id) || this.promised.has(m.id)) continue;
       const held: HeldBooking[] = [];
       let strange = false;
       for (const h of m.held.values()) {
@@ -810,6 +815,7 @@
         this.drain(now);
         this.schedule(now);
         this.fleet.pushStops();
+        this.keepPromises(now);
         this.returnIdle(now);
       }
     } catch (error) {
@@ -865,9 +871,105 @@
       if (m) this.booked.add(m.id);
     }
     this.dispatch(plan, refs, byOrder, now);
+    this.preempt(plan, unplaced, byOrder, now);
     this.shortages(plan, unplaced, byOrder, now);
   }
 
+  /**
+   * Work of higher priority that would have to wait stops lesser work: where its machines are full, and where its
+   * team's limit is used up by the team's own lesser work.
+   */
+  private preempt(plan: Plan, unplaced: { job: Job }[], byOrder: Map<number, Job>, now: number): void {
+    const waiting = new Set<Job>(unplaced.map((u) => u.job));
+    for (const b of plan.bookings) {
+      const job = byOrder.get(b.job.id);
+      if (job && b.start > now / 1000 + PREEMPT_WAIT_S) waiting.add(job);
+    }
+    const usage = this.teamUsage();
+    for (const job of [...waiting].sort((a, b) => b.spec.priority - a.spec.priority || a.order - b.order)) {
+      if (job.spec.priority <= PRIORITY.normal || (!job.fresh && !this.adopted)) continue;
+      if (now - (this.preemptedAt.get(job.spec.id) ?? Number.NEGATIVE_INFINITY) < PREEMPT_PAUSE_MS) continue;
+      const victims = this.victimsFor(job, usage, now);
+      if (!victims || victims.length === 0) continue;
+      this.preemptedAt.set(job.spec.id, now);
+      this.log.info({ job: job.spec.id, stopped: victims.length }, 'making room');
+      for (const h of victims) this.fleet.halt(h, (this.jobs.get(h.job)?.spec.saveS ?? 0) + 1);
+    }
+    for (const id of this.preemptedAt.keys()) if (!this.jobs.has(id)) this.preemptedAt.delete(id);
+  }
+
+  private victimsFor(job: Job, usage: Map<number, Amounts>, now: number): Held[] | null {
+    const wanted = job.spec.kind === 'gang' ? job.spec.tasks : Math.min(openCount(job), 64);
+    if (wanted <= 0 || (job.spec.kind === 'gang' && job.places.size > 0)) return null;
+    const team = this.world.settings.teams[job.team];
+    const use = usage.get(job.team);
+    const teamLeft: Amounts = { cpus: 1e12, gpus: 1e12, memoryGb: 1e12 };
+    if (team && use) {
+      if (team.cpusMax > 0) teamLeft.cpus = team.cpusMax - use.cpus;
+      if (team.gpusMax > 0) teamLeft.gpus = team.gpusMax - use.gpus;
+    }
+    const byZone = new Map<number, PreemptMachine<Held>[]>();
+    for (const m of this.fleet.machines.values()) {
+      if (!m.synced || m.lost || m.leaving || m.noticeUntil !== null || this.promised.has(m.id)) continue;
+      if ((job.types && !job.types.has(m.type)) || (m.spot && !job.spec.spot)) continue;
+      if (job.zone !== null && job.zone !== m.zone) continue;
+      const victims = [];
+      for (const h of m.held.values()) {
+        const other = this.jobs.get(h.job);
+        if (!other || h.state === 'exited' || h.stop || other.spec.priority >= job.spec.priority) continue;
+        if (other.spec.kind === 'gang') continue;
+        const ran = h.runningAt === null ? 0 : (now - h.runningAt) / 1000;
+        const loss = other.spec.checkpointS > 0 ? 2 + other.spec.saveS + ran / 100 : ran;
+        victims.push({ ref: h, need: other.need, sameTeam: other.team === job.team, loss });
+      }
+      const zone = job.spec.oneZone ? m.zone : 0;
+      const list = byZone.get(zone) ?? [];
+      list.push({ free: this.freeOn(m, new Map()), victims });
+      byZone.set(zone, list);
+    }
+    let best: Held[] | null = null;
+    for (const machines of byZone.values()) {
+      const victims = chooseVictims({ need: job.need, count: wanted, teamLeft }, machines);
+      if (victims && (!best || victims.length < best.length)) best = victims;
+    }
+    return best;
+  }
+
+  /** Clears a machine for another shard's more urgent work. False when that is not to be. */
+  vacate(id: string, to: number, priority: number): boolean {
+    const m = this.fleet.machines.get(id);
+    if (!m || !this.ready || this.promised.has(id) || !this.softTo(m, priority)) return false;
+    const now = this.world.clock.now();
+    this.promised.set(id, { to, until: now + PROMISE_MS });
+    this.log.info({ machine: id, to, held: m.held.size }, 'clearing a machine for another shard');
+    for (const h of m.held.values()) this.fleet.halt(h, (this.jobs.get(h.job)?.spec.saveS ?? 0) + 1);
+    this.fleet.pushStops();
+    this.stir();
+    return true;
+  }
+
+  /** Whether all that a machine holds may be stopped for work of a priority. */
+  private softTo(m: Machine, priority: number): boolean {
+    if (!m.synced || m.leaving || m.lost || m.unknown || m.noticeUntil !== null || m.held.size === 0)
+      return false;
+    for (const h of m.held.values()) {
+      const job = this.jobs.get(h.job);
+      if (!job || h.stop || job.spec.priority >= priority || job.spec.kind === 'gang') return false;
+    }
+    return true;
+  }
+
+  /** Hands over the machines that were cleared for other shards. */
+  private keepPromises(now: number): void {
+    for (const [id, p] of this.promised) {
+      const m = this.fleet.machines.get(id);
+      if (!m || now > p.until) this.promised.delete(id);
+      else if (m.held.size === 0 && m.synced && !this.moving.has(id)) {
+        void this.give(id, p.to, true).finally(() => this.promised.delete(id));
+      }
+    }
+  }
+
   /** Starts what the plan has for now, where the machines are truly free and the rules surely hold. */
   private dispatch(plan: Plan, refs: (Machine | null)[], byOrder: Map<number, Job>, now: number): void {
     const perMachine = new Map<Machine, StartOrder[]>();
@@ -936,7 +1038,8 @@
     for (const p of parts) want.set(p.m, (want.get(p.m) ?? 0) + 1);
     for (const [m, n] of want) {
       if (!m.synced || m.leaving || m.lost || m.unknown || !m.addr || m.noticeUntil !== null) return false;
-      if (this.moving.has(m.id) || (m.unreachableAt !== null && now - m.unreachableAt < 6000)) return false;
+      if (this.moving.has(m.id) || this.promised.has(m.id)) return false;
+      if (m.unreachableAt !== null && now - m.unreachableAt < 6000) return false;
       if (fitCount(this.freeOn(m, free), job.need, n) < n) return false;
       if (job.types && !job.types.has(m.type)) return false;
       if (m.spot && !job.spec.spot) return false;
@@ -1028,11 +1131,11 @@
     byOrder: Map<number, Job>,
     now: number,
   ): void {
-    const waiting = new Map<Job, { soon: number; late: number }>();
+    const waiting = new Map<Job, { soon: number; late: number; waitS: number }>();
     const slot = (job: Job) => {
       let w = waiting.get(job);
       if (!w) {
-        w = { soon: 0, late: 0 };
+        w = { soon: 0, late: 0, waitS: 0 };
         waiting.set(job, w);
       }
       return w;
@@ -1042,6 +1145,7 @@
       const job = byOrder.get(b.job.id);
       if (!job || b.start <= t + 0.5) continue;
       slot(job).soon++;
+      slot(job).waitS = Math.max(slot(job).waitS, b.start - t);
       const boot = this.shortestBoot(job);
       if (b.start > t + boot * 1.1 + 2) slot(job).late++;
     }
@@ -1049,6 +1153,7 @@
       const n = Math.max(1, openCount(u.job) - plan.bookings.filter((b) => b.job.id === u.job.order).length);
       slot(u.job).soon += n;
       slot(u.job).late += n;
+      slot(u.job).waitS = 600;
     }
     const usage = this.teamUsage();
     const needs: Gossip['needs'] = [];
@@ -1071,7 +1176,7 @@
         need: job.need,
         count: soon,
       };
-      needs.push(this.need(job, soon));
+      needs.push(this.need(job, soon, w.waitS));
       const since = this.shortSince.get(job.spec.id) ?? now;
       this.shortSince.set(job.spec.id, since);
       const late = Math.min(w.late, cap);
@@ -1087,7 +1192,7 @@
     if (rented) this.stir();
   }
 
-  private need(job: Job, count: number): Gossip['needs'][number] {
+  private need(job: Job, count: number, waitS: number): Gossip['needs'][number] {
     return {
       types: job.spec.types,
       zone: job.spec.zone,
@@ -1098,6 +1203,7 @@
       count,
       priority: job.spec.priority,
       deadline: job.deadlineWall,
+      waitS,
     };
   }
 
@@ -1290,7 +1396,22 @@
         images: [...m.images.keys()].map((i) => n.images.name(i)),
       });
     }
-    return { shard: this.index, node, spares, needs: this.needs.slice(0, 20) };
+    const soft = [];
+    for (const m of this.fleet.machines.values()) {
+      if (this.promised.has(m.id) || this.moving.has(m.id) || !this.softTo(m, PRIORITY.production + 1))
+        continue;
+      let top = 0;
+      for (const h of m.held.values()) top = Math.max(top, this.jobs.get(h.job)?.spec.priority ?? 0);
+      soft.push({
+        id: m.id,
+        type: n.types.name(m.type),
+        zone: n.zones.name(m.zone),
+        spot: m.spot,
+        images: [],
+        top,
+      });
+    }
+    return { shard: this.index, node, spares, soft: soft.slice(0, 30), needs: this.needs.slice(0, 20) };
   }
 }
 
--- a/src/shards/world.ts
+++ b/src/shards/world.ts
@@ -18,6 +18,8 @@
   cloud: Cloud;
   names: Names;
   catalog: Catalog;
+  /** When the record of a machine went, by the machine's id. */
+  goneMachines: Map<string, number>;
   /** Marks this run of the process in every name that must not be used twice. */
   run: string;
 }
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -104,6 +104,7 @@
       cloud: null as unknown as Cloud,
       names,
       catalog: new Catalog(names),
+      goneMachines: new Map(),
       run: `${name}-${++this.runs}`,
     };
     world.store = new StateStore(clock, world.http, STATE, { rps: 600, writeRps: 300, nodes: 1 });
