--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -274,7 +274,11 @@
     m.session = r.session;
     m.seq = r.seq;
     m.addr = r.addr;
-    if (m.heardAt === null) this.hooks.stir();
+    if (m.heardAt === null) {
+      // Until now it booted; only from here on does it stand idle.
+      m.idleSince = now;
+      this.hooks.stir();
+    }
     m.heardAt = now;
     if (m.lost) {
       m.lost = false;
