--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -35,6 +35,24 @@
     return this.lease !== null && this.clock.now() < this.validUntil;
   }
 
+  /**
+   * Whether a key is this node's by the lease that it has now. A key that hung on an earlier lease is lost even while
+   * this copy still shows it: the node must not act on it under its new lease.
+   */
+  holds(value: unknown): boolean {
+    const h = readHolder(value);
+    return h !== null && h.run === this.run && this.lease !== null && h.lease === this.lease;
+  }
+
+  /** True while this very lease surely lasts. */
+  validUnder(lease: number): boolean {
+    return this.lease === lease && this.valid;
+  }
+
+  get leaseId(): number | null {
+    return this.lease;
+  }
+
   get holder(): Holder {
     return { node: this.node, run: this.run, lease: this.lease ?? 0 };
   }
@@ -123,7 +141,7 @@
       const result = await this.store.txn([{ key, version: 0 }], [{ put: key, value: this.holder, lease }]);
       if (result.ok) {
         this.mirror.apply({ key, value: { ...this.holder, lease }, version: result.revision });
-        return result.revision;
+        return this.lease === lease ? result.revision : null;
       }
       if (!result.failed.includes(key)) return null;
     } catch (error) {
@@ -137,7 +155,7 @@
       const holder = e && readHolder(e.value);
       if (!e || !holder) return null;
       this.mirror.apply(e);
-      return holder.run === this.run && holder.lease === this.lease ? e.version : null;
+      return this.holds(e.value) ? e.version : null;
     } catch {
       return null;
     }
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -6,7 +6,7 @@
 import type { JobSpec } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
 import { readGossip } from './gossip.js';
-import { KEYS, readHolder, readMachineRecord, readTeams } from './keys.js';
+import { KEYS, readMachineRecord, readTeams } from './keys.js';
 import { Leader, type Stray } from './leader.js';
 import { Members } from './members.js';
 import { Shard, type StatusAnswer, type SubmitAnswer, Unavailable } from './shard.js';
@@ -122,8 +122,7 @@
     const now = this.world.clock.now();
     if (entry) {
       this.ownerGoneSince.delete(key);
-      const holder = readHolder(entry.value);
-      const here = holder?.run === this.world.run;
+      const here = this.members.holds(entry.value);
       if (mine && (!here || mine.term !== entry.version)) {
         // Somebody else's, or a newer term of this node's.
         if (entry.version > mine.term) this.drop(mine);
@@ -150,11 +149,13 @@
   }
 
   private take(k: number, term: number): void {
+    const lease = this.members.leaseId;
+    if (lease === null) return;
     const shard: Shard = new Shard(
       this.world,
       k,
       term,
-      () => this.members.valid,
+      () => this.members.validUnder(lease),
       () => this.drop(shard),
     );
     this.shards.set(k, shard);
@@ -192,7 +193,7 @@
     const now = this.world.clock.now();
     if (entry) {
       this.ownerGoneSince.delete(key);
-      const here = readHolder(entry.value)?.run === this.world.run;
+      const here = this.members.holds(entry.value);
       if (!here && this.leader) {
         this.leader.stop();
         this.leader = null;
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -177,6 +177,12 @@
   }
 
   private lose(m: Machine): void {
+    if (m.heardAt === null) {
+      // Taken over and never heard of: what it may have held is gone, and it may well still boot.
+      m.unknown = false;
+      this.hooks.stir();
+      return;
+    }
     this.log.info({ machine: m.id, held: m.held.size }, 'machine lost: its lease ran out');
     m.lost = true;
     m.synced = false;
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -225,3 +225,39 @@
   assert.equal(lost, 2);
   assert.ok(await c.clock.until(() => c.state.value(`c/m/${w.id}`) === undefined, 5000));
 });
+
+test('a node whose lease ran out does not take up its former shard under its new lease', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  c.startNode('n1');
+  assert.ok(await c.submit('n1', job('wk-1')));
+  assert.ok(await started(c, 'wk-1/0'));
+  const owner = c.nodes.get('n0')!;
+  assert.equal(owner.node.members.owner(0)?.node, 'n0');
+  const term = c.state.items.get('c/own/0')!.stamp;
+  // The state service does not answer n0 alone; its watches stay open and tell nothing, so its copy grows old.
+  c.net.fate = (from, addr) => (from === 'n0' && addr.startsWith('10.2.0.1') ? 'silent' : 'deliver');
+  assert.ok(
+    await c.clock.until(() => (c.state.items.get('c/own/0')?.stamp ?? term) > term, 20_000),
+    'n1 adopts',
+  );
+  let watching = true;
+  c.net.fate = (from, _addr, _method, path) =>
+    from === 'n0' && watching && path.startsWith('/watch') ? 'silent' : 'deliver';
+  await c.clock.until(() => owner.node.members.valid, 5000);
+  for (let i = 0; i < 100; i++) {
+    const held = c.state.items.get('c/own/0');
+    const reply = await owner.api.handle({
+      method: 'POST',
+      path: '/v1/report',
+      query: new URLSearchParams(),
+      headers: new Map(),
+      body: Buffer.from(JSON.stringify({ ...w.report(), tally: 1_000_000 + i })),
+    });
+    if ((held?.value as { node?: string } | undefined)?.node !== 'n0') assert.notEqual(reply.status, 200);
+    await c.clock.advance(30);
+  }
+  watching = false;
+  assert.equal(w.started.length, 1);
+});
