--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -56,6 +56,11 @@
 /** A deleted machine costs at least so much time, so giving it back earlier saves nothing. */
 const MIN_CHARGE_MS = 55_000;
 const NO_CAPACITY_MS = 30_000;
+/**
+ * A machine that is not up after so many boot times mostly never comes. It is given back, so that the place it takes in
+ * a small fleet can be rented anew.
+ */
+const OVERDUE_BOOTS = 2.5;
 const SILENT_RETURN_MS = 120_000;
 const ATTEMPTS_PER_TERM = 2 ** 20;
 /** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
@@ -1308,8 +1313,8 @@
         m.heardAt === null &&
         !m.unknown &&
         type !== undefined &&
-        now - m.rentedAt > type.bootS * 4000 + 30_000 &&
-        now - this.claimedAt > 60_000;
+        now - m.rentedAt > type.bootS * OVERDUE_BOOTS * 1000 + 5000 &&
+        now - this.claimedAt > 10_000;
       const silent = m.lost && now - this.fleet.leaseEnd(m) > SILENT_RETURN_MS;
       const sick = m.errors >= 3 && m.held.size === 0 && m.synced;
       if (m.leaving || idle || never || silent || sick) void this.giveBack(m);
