--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -626,8 +626,9 @@
     return ended ? ended.status : null;
   }
 
+  /** A name that nobody ever uses again: a shard can come back to the same process, but never with the same term. */
   private uniqueName(kind: string): string {
-    return `${this.world.run}-${kind}${this.index}-${this.order++}`;
+    return `${this.world.run}-${kind}${this.index}-${this.term}-${this.order++}`;
   }
 
   // --- the plan
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -261,3 +261,20 @@
   watching = false;
   assert.equal(w.started.length, 1);
 });
+
+test('a shard that comes back to the same process uses no rental name again', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  c.startNode('n0');
+  c.startNode('n1');
+  assert.ok(await c.submit('n0', job('wk-1', { pieces: 3 })));
+  await c.clock.advance(5000);
+  // n0 alone loses the state service: its shard goes to n1, and back when n0 is well again.
+  c.net.fate = (from, addr) => (from === 'n0' && addr.startsWith('10.2.0.1') ? 'silent' : 'deliver');
+  await c.clock.advance(15_000);
+  c.net.fate = () => 'deliver';
+  await c.clock.advance(60_000);
+  assert.equal(c.nodes.get('n1')!.node.members.owner(0)?.node, 'n0');
+  const bookings = c.rented.map((r) => r.booking);
+  assert.ok(bookings.filter((b) => b.startsWith('n0')).length > 4);
+  assert.equal(new Set(bookings).size, bookings.length);
+});
