--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -296,7 +296,8 @@
       if (!this.allowed(job, m, zone)) continue;
       const count = this.profiles[m]!.room(t, this.spanOn(job, m), job.need, n);
       if (count === 0) continue;
-      const rank = [this.wastes(job, m) ? 1 : 0, -this.profiles[m]!.load(this.now)];
+      // A gang waits for its slowest fetch, so a machine that has the image comes before a more loaded one.
+      const rank = [this.fetchS(job, m), this.wastes(job, m) ? 1 : 0, -this.profiles[m]!.load(this.now)];
       rooms.push({ m, count, rank });
     }
     rooms.sort((a, b) => compare(a.rank, b.rank));
