--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -204,7 +204,13 @@
         if (!c) continue;
         const rank =
           c.end <= job.deadline
-            ? [0, this.wastes(job, m) ? 1 : 0, this.fetchS(job, m), -this.profiles[m]!.load(this.now), c.start]
+            ? [
+                0,
+                this.wastes(job, m) ? 1 : 0,
+                this.fetchS(job, m),
+                -this.profiles[m]!.load(this.now),
+                c.start,
+              ]
             : [1, c.end, c.start];
         if (!best || smaller(rank, bestRank)) {
           best = c;
