--- /dev/null
+++ b/tests/plan.test.ts
@@ -0,0 +1,186 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Plan, type PlanJob, type PlanMachine } from '../src/plan/plan.js';
+import { chooseVictims } from '../src/plan/preempt.js';
+import { chooseRental } from '../src/plan/rent.js';
+import { matchSpares, partTeams } from '../src/shards/leader.js';
+
+const size = { cpus: 8, gpus: 0, memoryGb: 32 };
+
+function machine(change: Partial<PlanMachine> = {}): PlanMachine {
+  return {
+    type: 0,
+    zone: 0,
+    spot: false,
+    size,
+    readyAt: 0,
+    until: Number.POSITIVE_INFINITY,
+    closed: false,
+    fetchGbPerS: 1,
+    images: new Set([0]),
+    slowness: 1,
+    held: [],
+    ...change,
+  };
+}
+
+function planJob(change: Partial<PlanJob> = {}): PlanJob {
+  return {
+    id: 1,
+    team: 0,
+    kind: 'array',
+    need: { cpus: 4, gpus: 0, memoryGb: 8 },
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    image: 0,
+    imageGb: 2,
+    runS: 60,
+    deadline: 1000,
+    total: 1,
+    tasks: [0],
+    present: new Map(),
+    ...change,
+  };
+}
+
+const busy = (end: number, cpus = 4) => ({ team: 0, end, need: { cpus, gpus: 0, memoryGb: 4 } });
+const noCaps = [{ cpus: 0, gpus: 0 }];
+
+test('a task goes to the most loaded machine that meets its deadline', () => {
+  const machines = [machine(), machine({ held: [busy(200)] }), machine({ held: [busy(100)] })];
+  const plan = new Plan(0, machines, noCaps);
+  assert.equal(plan.book(planJob()), 60);
+  assert.equal(plan.bookings[0]!.machine, 1);
+});
+
+test('a full machine is passed over when its task would end too late, and used when it would not', () => {
+  const machines = [machine(), machine({ held: [busy(200, 8)] })];
+  const tight = new Plan(0, machines, noCaps);
+  tight.book(planJob({ deadline: 100 }));
+  assert.equal(tight.bookings[0]!.machine, 0);
+  const wide = new Plan(0, machines, noCaps);
+  wide.book(planJob({ deadline: 300 }));
+  assert.deepEqual([wide.bookings[0]!.machine, wide.bookings[0]!.start], [1, 200]);
+  wide.startEarly();
+  assert.deepEqual(
+    [wide.bookings[0]!.machine, wide.bookings[0]!.start],
+    [0, 0],
+    'and starts early elsewhere',
+  );
+});
+
+test('the finish counts booting machines, fetches, bookings and the team’s limit', () => {
+  assert.equal(
+    new Plan(0, [machine({ readyAt: 30, images: new Set() })], noCaps).earliestFinish(planJob()),
+    92,
+  );
+  const capped = new Plan(0, [machine(), machine()], [{ cpus: 8, gpus: 0 }]);
+  assert.equal(capped.earliestFinish(planJob({ total: 4, tasks: [0, 1, 2, 3] })), 120);
+  assert.equal(capped.bookings.length, 0, 'asking books nothing');
+  const unseen = new Plan(0, [machine()], [{ cpus: 8, gpus: 0 }]);
+  unseen.reserve({ cpus: 8, gpus: 0, memoryGb: 0 }, 20);
+  assert.equal(unseen.earliestFinish(planJob()), 80);
+  assert.equal(
+    new Plan(0, [machine()], noCaps).earliestFinish(planJob({ need: { ...size, cpus: 9 } })),
+    null,
+  );
+});
+
+test('a gang waits until all of it fits at once, in one zone where it must', () => {
+  const gang = planJob({ kind: 'gang', total: 3, tasks: [0, 1, 2], oneZone: true });
+  const machines = [machine({ held: [busy(50)] }), machine({ zone: 1 }), machine()];
+  const plan = new Plan(0, machines, noCaps);
+  assert.equal(plan.book(gang), 60);
+  assert.deepEqual(new Set(plan.bookings.map((b) => machines[b.machine]!.zone)), new Set([0]));
+  const full = new Plan(0, [machine({ held: [busy(50)] }), machine({ zone: 1 })], noCaps);
+  assert.equal(full.book({ ...gang, tasks: [0, 1], total: 2 }), 60);
+  assert.equal(full.book({ ...gang, id: 2, tasks: [0, 1], total: 2 }), 110);
+});
+
+test('spread keeps half of the tasks out of each zone; spot, type and closed machines are respected', () => {
+  const job = planJob({ spread: true, total: 3, tasks: [0, 1, 2] });
+  const machines = [machine({ size: { cpus: 64, gpus: 0, memoryGb: 256 } }), machine({ zone: 1 })];
+  const plan = new Plan(0, machines, noCaps);
+  plan.book(job);
+  assert.equal(plan.bookings.filter((b) => b.machine === 0).length, 2);
+  const barred = [machine({ spot: true }), machine({ type: 1 }), machine({ closed: true })];
+  const strict = planJob({ spot: false, types: new Set([0]) });
+  assert.equal(new Plan(0, barred, noCaps).book(strict), null);
+});
+
+test('preemption stops the least that suffices, also for a team’s limit, and nothing in vain', () => {
+  const need = { cpus: 8, gpus: 0, memoryGb: 8 };
+  const victim = (ref: string, loss: number, sameTeam = false) => ({
+    ref,
+    need: { cpus: 4, gpus: 0, memoryGb: 4 },
+    sameTeam,
+    loss,
+  });
+  const none = { cpus: 0, gpus: 0, memoryGb: 0 };
+  const wide = { cpus: 99, gpus: 99, memoryGb: 99 };
+  const one = { free: { cpus: 4, gpus: 0, memoryGb: 32 }, victims: [victim('a', 9), victim('b', 1)] };
+  assert.deepEqual(chooseVictims({ need, count: 1, teamLeft: wide }, [one]), ['b']);
+  assert.equal(chooseVictims({ need, count: 2, teamLeft: wide }, [one]), null);
+  const roomy = {
+    free: { cpus: 8, gpus: 0, memoryGb: 32 },
+    victims: [victim('c', 1), victim('d', 2, true), victim('e', 3, true)],
+  };
+  assert.deepEqual(chooseVictims({ need, count: 1, teamLeft: { ...none, memoryGb: 99 } }, [roomy]), [
+    'd',
+    'e',
+  ]);
+});
+
+test('rentals take the cheapest fitting kind per task', () => {
+  const option = (type: number, price: number, cpus: number, spot = false) => ({
+    type,
+    zone: 0,
+    spot,
+    size: { ...size, cpus },
+    price,
+    bootS: 30,
+  });
+  const need = { cpus: 4, gpus: 0, memoryGb: 1 };
+  const shortage = { types: null, zone: null, spot: false, need, count: 6 };
+  const options = [option(0, 1, 4), option(1, 1.5, 8), option(2, 0.1, 8, true), option(3, 0.1, 2)];
+  assert.deepEqual(chooseRental(shortage, options, 8), { option: options[1], count: 3 });
+  assert.equal(chooseRental({ ...shortage, spot: true }, options, 8)?.option, options[2]);
+  assert.equal(chooseRental({ ...shortage, types: new Set([3]) }, options, 8), null);
+});
+
+test('empty machines go to the most urgent need elsewhere, but a shard keeps what it needs itself', () => {
+  const sizeOf = () => size;
+  const spare = (id: string) => ({ id, type: 't', zone: 'a', spot: false, images: [] });
+  const need = (priority: number) => ({
+    types: null,
+    zone: null,
+    spot: true,
+    cpus: 8,
+    gpus: 0,
+    memoryGb: 1,
+    count: 1,
+    priority,
+    deadline: 1,
+    waitS: 9,
+  });
+  const told = (shard: number, spares: string[], priorities: number[]) => ({
+    shard,
+    node: 'n',
+    soft: [],
+    spares: spares.map(spare),
+    needs: priorities.map(need),
+  });
+  const moves = matchSpares([told(0, ['m-1'], []), told(1, ['m-2'], [1]), told(2, [], [2])], sizeOf);
+  assert.deepEqual(moves, [{ machine: 'm-1', from: 0, to: 2 }]);
+});
+
+test('teams are spread by their guarantees, and known ones stay', () => {
+  const teams = ['a', 'b', 'c', 'd'].map((name, i) => ({ name, cpus: 10 * (4 - i), gpus: 0 }));
+  const parted = partTeams(teams, {}, 3);
+  assert.equal(new Set([parted.a, parted.b, parted.c]).size, 3);
+  assert.equal(parted.d, parted.c);
+  assert.equal(partTeams(teams, { d: 0 }, 3).d, 0);
+});
--- /dev/null
+++ b/tests/wire.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseSettings, SettingsError } from '../src/config/settings.js';
+import { chunkTasks, TaskSet } from '../src/jobs/bits.js';
+import { encodeFrame, FrameReader } from '../src/peer/frames.js';
+import { readJob } from '../src/wire/users.js';
+import { readReport } from '../src/wire/workers.js';
+import { job } from './support/cluster.js';
+
+test('a submission with a missing, wrong or out-of-range field is refused by name', () => {
+  assert.equal(typeof readJob(job('wk-1')), 'object');
+  const bad: [object, string][] = [
+    [{ id: 'x-1' }, 'id'],
+    [{ pieces: 0 }, 'pieces'],
+    [{ pieces: 1.5 }, 'pieces'],
+    [{ pieces: 100_001 }, 'pieces'],
+    [{ cpus: -1 }, 'cpus'],
+    [{ cpus: '4' }, 'cpus'],
+    [{ memoryGb: Number.NaN }, 'memoryGb'],
+    [{ shape: 'other' }, 'shape'],
+    [{ oneZone: undefined }, 'oneZone'],
+    [{ dueS: 0 }, 'dueS'],
+    [{ flavors: 'c8' }, 'flavors'],
+  ];
+  for (const [change, field] of bad) {
+    const said = readJob({ ...job('wk-1'), ...change });
+    assert.equal(typeof said, 'string', field);
+    assert.ok((said as string).startsWith(field), `${said}`);
+  }
+  const { flavors: _f, yard: _y, dueS: _d, ...rest } = job('wk-1') as Record<string, unknown>;
+  assert.equal(typeof readJob(rest), 'object', 'what may be null may be left out');
+});
+
+test('garbage from a worker is dropped, unknown fields and states are not', () => {
+  const report = {
+    worker: 'm-1',
+    addr: '10.0.0.1:9000',
+    flavor: 'c8',
+    yard: 'a',
+    loaner: false,
+    shift: 1,
+    tally: 2,
+    baton: 3,
+    pieces: [{ piece: 'wk-1/7', try: 4, status: 'dreaming', extra: 1 }],
+  };
+  assert.deepEqual(readReport(report)?.tasks[0], {
+    job: 'wk-1',
+    index: 7,
+    attempt: 4,
+    state: 'running',
+    cause: null,
+    saved: false,
+  });
+  for (const change of [
+    { addr: 'nowhere' },
+    { shift: 'x' },
+    { pieces: [{ piece: 'wk-1' }] },
+    { worker: 7 },
+  ]) {
+    assert.equal(readReport({ ...report, ...change }), null);
+  }
+});
+
+test('done tasks come back from their chunks, for the largest job in the smallest values', () => {
+  const per = chunkTasks(8);
+  const set = new TaskSet(100_000);
+  for (let i = 0; i < 100_000; i += 7) set.add(i);
+  const copy = new TaskSet(100_000);
+  for (let n = 0; n * per < 100_000; n++) {
+    const text = set.chunk(n, per);
+    assert.ok(text.length < 8 * 1024 - 64);
+    copy.load(n, per, text);
+  }
+  assert.equal(copy.count, set.count);
+  assert.ok(copy.has(99_995) && !copy.has(99_996));
+});
+
+test('peer frames survive any split, and garbage ends the connection only', () => {
+  const frames = Buffer.concat([
+    encodeFrame({ q: 1, op: 'status', a: { id: 'wk-1' } }),
+    encodeFrame({ r: 1, a: null }),
+  ]);
+  for (let cut = 1; cut < frames.length; cut++) {
+    const reader = new FrameReader();
+    assert.equal([...reader.feed(frames.subarray(0, cut)), ...reader.feed(frames.subarray(cut))].length, 2);
+  }
+  assert.throws(() => new FrameReader().feed(Buffer.from([255, 255, 255, 255, 0])));
+});
+
+test('a bad settings file is refused by the name of the field', () => {
+  const good = `
+node = "w0"
+zone = "a"
+bind = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+later = "unknown fields are ignored"
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[params]
+initial_size = 3
+[params.workers]
+report_s = 3.0
+lease_s = 20.0
+gang_wait_s = 40.0
+gang_peer_s = 5.0
+cancel_s = 45.0
+[params.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 32
+[params.cloud]
+rps = 10.0
+list_lag_s = 6.0
+[params.limits]
+cores = 0.17
+memory_mb = 178.0
+max_sockets = 800
+`;
+  assert.equal(parseSettings(good).workers.leaseS, 20);
+  const says = (text: string, what: RegExp) =>
+    assert.throws(
+      () => parseSettings(text),
+      (e) => e instanceof SettingsError && what.test(e.message),
+    );
+  says(good.replace('lease_s = 20.0', 'lease_s = -1'), /params\.workers\.lease_s/);
+  says(good.replace('bind = "127.0.0.1:1"', 'bind = "here"'), /^bind/);
+  says(good.replace('initial_size = 3', ''), /params\.initial_size/);
+  says('node = ', /TOML/);
+});
