--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -14,7 +14,15 @@
   writeRental,
 } from '../wire/cloud.js';
 
-export class CloudFailure extends Error {}
+/** `maybe`: the request may have been executed, or may yet be. */
+export class CloudFailure extends Error {
+  constructor(
+    message: string,
+    readonly maybe = false,
+  ) {
+    super(message);
+  }
+}
 
 export interface RentalRequest {
   request: string;
@@ -89,10 +97,12 @@
 
   private async send(method: string, path: string, body: object | null) {
     try {
-      await this.limiter.take(1, false, 10_000);
+      // Lists and returns come before rentals: probing for capacity must not keep a node from seeing what it has.
+      await this.limiter.take(1, method === 'GET' || path === CLOUD_PATHS.release, 3000);
       return await this.http.request(this.addr, method, path, body, TIMEOUT_MS);
     } catch (error) {
-      if (error instanceof Overloaded || error instanceof HttpFailure) throw new CloudFailure(error.message);
+      if (error instanceof Overloaded) throw new CloudFailure(error.message);
+      if (error instanceof HttpFailure) throw new CloudFailure(error.message, error.sent);
       throw error;
     }
   }
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -388,12 +388,34 @@
     return entry;
   }
 
+  /**
+   * How a job stands as far as the state service knows, for when its owner cannot be reached: behind a cut between
+   * zones a user may see no other node for minutes. An end is durable before anyone hears of it, so this is never
+   * older than what the user was told.
+   */
+  private async stored(id: string): Promise<StatusAnswer | null> {
+    const found = await this.world.store.get(KEYS.job(id));
+    const entry = found && readJobEntry(found.value);
+    if (!entry) return null;
+    this.remember(id, entry);
+    const done = entry.final === 'done' ? (entry.tasks ?? 0) : 0;
+    return { status: entry.final ?? 'queued', done, running: 0 };
+  }
+
   async submit(spec: JobSpec): Promise<SubmitAnswer> {
     const known = this.routes.get(spec.id);
     if (known?.final) return { kind: 'known', status: known.final };
     const shard = known?.shard ?? this.shardOf(spec);
     if (shard === null) throw new Unavailable('teams are not parted yet');
-    const answer = await this.ask<SubmitAnswer>(shard, 'submit', { spec }, (s) => s.submit(spec));
+    let answer: SubmitAnswer;
+    try {
+      answer = await this.ask<SubmitAnswer>(shard, 'submit', { spec }, (s) => s.submit(spec));
+    } catch (error) {
+      // What was accepted before is known without its owner; only a new job has to wait for it.
+      const stored = error instanceof Unavailable ? await this.stored(spec.id) : null;
+      if (!stored) throw error;
+      return { kind: 'known', status: stored.status };
+    }
     if (answer.kind === 'accepted') this.remember(spec.id, { shard });
     return answer;
   }
@@ -404,7 +426,14 @@
     if (entry.final) {
       return { status: entry.final, done: entry.final === 'done' ? (entry.tasks ?? 0) : 0, running: 0 };
     }
-    const answer = await this.ask(entry.shard, 'status', { id }, (s) => s.status(id));
+    let answer: StatusAnswer | null;
+    try {
+      answer = await this.ask(entry.shard, 'status', { id }, (s) => s.status(id));
+    } catch (error) {
+      const stored = error instanceof Unavailable ? await this.stored(id) : null;
+      if (!stored) throw error;
+      return stored;
+    }
     if (!answer) {
       // Over, and the owner has forgotten it: the state service knows.
       this.routes.delete(id);
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -1,4 +1,5 @@
 import { Mutex } from 'async-mutex';
+import { CloudFailure } from '../cloud/cloud.js';
 import type { Log } from '../config/log.js';
 import { type Job, type JobEntry, jobStatus, makeJob, openCount, openTasks } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
@@ -55,7 +56,12 @@
 const KEEP_SHORT_MS = 15_000;
 /** A deleted machine costs at least so much time, so giving it back earlier saves nothing. */
 const MIN_CHARGE_MS = 55_000;
-const NO_CAPACITY_MS = 30_000;
+/** A kind of machine that is not to be had is asked for again after this, and after twice as long each time. */
+const NO_CAPACITY_MS = 15_000;
+const NO_CAPACITY_MOST_MS = 30_000;
+/** While the cloud fails, one rental at a time is tried, at growing intervals. */
+const CLOUD_PAUSE_MS = 1000;
+const CLOUD_PAUSE_MOST_MS = 2500;
 /**
  * A machine that is not up after so many boot times mostly never comes. It is given back, so that the place it takes in
  * a small fleet can be rented anew.
@@ -68,7 +74,7 @@
 const PREEMPT_PAUSE_MS = 12_000;
 /** A machine promised to another shard is cleared by then, or kept. */
 const PROMISE_MS = 15_000;
-const MAX_PENDING_RENTALS = 12;
+const MAX_PENDING_RENTALS = 4;
 
 /** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
 export class Shard {
@@ -88,7 +94,8 @@
   private shortSince = new Map<string, number>();
   private needs: Gossip['needs'] = [];
   private booked = new Set<string>();
-  private readonly blocked = new Map<string, number>();
+  private readonly blocked = new Map<string, { until: number; pause: number }>();
+  private cloudPause = { until: 0, pause: 0 };
   private readonly rentals = new Set<PendingRental>();
   private readonly ratios = new Map<string, { log: number; count: number }>();
   private readonly moving = new Set<string>();
@@ -1122,7 +1129,7 @@
         const zone = this.world.names.zones.index(z);
         for (const spot of [true, false]) {
           if (spot && t.spotPrice <= 0) continue;
-          if ((this.blocked.get(optionKey(type, zone, spot)) ?? 0) > now) continue;
+          if ((this.blocked.get(optionKey(type, zone, spot))?.until ?? 0) > now) continue;
           const size = { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb };
           out.push({ type, zone, spot, size, price: spot ? t.spotPrice : t.price, bootS: t.bootS });
         }
@@ -1251,26 +1258,38 @@
     this.rentals.add(pending);
     const key = optionKey(option.type, option.zone, option.spot);
     try {
-      for (let tries = 0; tries < 4 && !this.stopped; tries++) {
+      while (!this.stopped) {
         try {
           const rented = await this.world.cloud.rent(request);
-          if (!rented || rented.length < count)
-            this.blocked.set(key, this.world.clock.now() + NO_CAPACITY_MS);
-          this.log.info({ ...request, rented }, 'rental');
+          this.cloudPause = { until: 0, pause: 0 };
+          this.noteCapacity(key, rented?.length === count);
+          this.log[rented ? 'info' : 'debug']({ ...request, rented }, 'rental');
           if (rented) await this.enter(rented, request, pending.at);
           return;
         } catch (error) {
           this.log.info({ ...request, error: String(error) }, 'rental failed');
-          await this.pause(1500);
+          const pause = Math.min(CLOUD_PAUSE_MOST_MS, Math.max(CLOUD_PAUSE_MS, this.cloudPause.pause * 2));
+          this.cloudPause = { until: this.world.clock.now() + pause, pause };
+          await this.pause(pause);
+          // After an outage, what was wanted is planned anew; the same request is only repeated while it may have worked.
+          if (!(error instanceof CloudFailure) || !error.maybe) return;
         }
       }
-      this.blocked.set(key, this.world.clock.now() + 5000);
     } finally {
       this.rentals.delete(pending);
       this.stir();
     }
   }
 
+  private noteCapacity(key: string, plenty: boolean): void {
+    if (plenty) {
+      this.blocked.delete(key);
+      return;
+    }
+    const pause = Math.min(NO_CAPACITY_MOST_MS, (this.blocked.get(key)?.pause ?? NO_CAPACITY_MS / 2) * 2);
+    this.blocked.set(key, { until: this.world.clock.now() + pause, pause });
+  }
+
   /** Records rented machines as this shard's; those that cannot be recorded come back as strays. */
   private async enter(
     ids: string[],
@@ -1356,8 +1375,12 @@
     this.fleet.remove(m);
     const key = KEYS.machine(m.id);
     try {
-      await this.world.store.txn([this.owned, { key, version: m.version }], [{ delete: key }]);
+      const result = await this.world.store.txn([this.owned, { key, version: m.version }], [{ delete: key }]);
+      if (!result.ok) throw new StateFailure(`not deleted: ${result.failed.join(' ')}`, false);
     } catch (error) {
+      const stored = await this.world.store.get(key).catch(() => undefined);
+      if (stored === null) return;
+      if (stored) m.version = stored.version;
       this.log.info({ machine: m.id, error: String(error) }, 'machine record stays for now');
       this.fleet.machines.set(m.id, { ...m, leaving: true });
     }
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -278,3 +278,20 @@
   assert.ok(bookings.filter((b) => b.startsWith('n0')).length > 4);
   assert.equal(new Set(bookings).size, bookings.length);
 });
+
+test('behind a cut between controllers a job is still known, and its end is not older than told', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  c.startNode('n1');
+  assert.ok(await c.submit('n1', job('wk-1')));
+  assert.ok(await started(c, 'wk-1/0'));
+  assert.equal(c.nodes.get('n0')!.node.members.owner(0)?.node, 'n0');
+  c.nodes.get('n1')!.cut = true;
+  assert.equal(status((await c.call('n1', 'GET', '/api/jobs/wk-1')).body), 'queued');
+  assert.equal((await c.call('n1', 'POST', '/api/jobs', job('wk-1'))).status, 200);
+  assert.equal((await c.call('n1', 'POST', '/api/jobs', job('wk-2'))).status, 503);
+  w.end('wk-1/0', 'done');
+  await c.clock.until(() => w.pieces.length === 0, 5000);
+  assert.equal(status((await c.call('n1', 'GET', '/api/jobs/wk-1')).body), 'done');
+});
