--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -295,3 +295,67 @@
   await c.clock.until(() => w.pieces.length === 0, 5000);
   assert.equal(status((await c.call('n1', 'GET', '/api/jobs/wk-1')).body), 'done');
 });
+
+test('a rented machine stays in the plan while it boots, and is given back when it never comes up', async () => {
+  const c = new FakeCluster(['n0']);
+  c.capacity = true;
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-1', { cpus: 8 })));
+  await c.clock.advance(60_000);
+  assert.equal(c.rented.length, 1, 'one machine is enough, also past one lease');
+  const first = c.workers[0]!;
+  assert.ok(await c.clock.until(() => c.released.includes(first.id), 40_000));
+  assert.ok(await c.clock.until(() => c.rented.length === 2, 5000));
+  c.silent.clear();
+  assert.ok(await started(c, 'wk-1/0'));
+});
+
+test('an adopted machine that still boots is not taken for lost', async () => {
+  const c = new FakeCluster(['n0']);
+  c.capacity = true;
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-1', { cpus: 8 })));
+  await c.clock.advance(3000);
+  c.killNode('n0');
+  c.net.fate = (_f, addr) => (addr.startsWith('10.1.') ? 'silent' : 'deliver');
+  c.startNode('n0');
+  await c.clock.advance(30_000);
+  assert.equal(c.rented.length, 1);
+  c.net.fate = () => 'deliver';
+  c.silent.clear();
+  assert.ok(await started(c, 'wk-1/0'));
+});
+
+test('a machine is idle only from when it is up, and what the late list still shows is not taken in again', async () => {
+  const c = new FakeCluster(['n0']);
+  c.objectives = [];
+  c.capacity = true;
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-1', { cpus: 8 })));
+  await c.clock.advance(3000);
+  const w = c.workers[0]!;
+  await c.call('n0', 'POST', '/api/jobs/wk-1/abort');
+  await c.clock.advance(65_000);
+  c.silent.clear();
+  c.ghosts.push(w);
+  await c.clock.advance(12_000);
+  assert.deepEqual(c.released, [], 'up for 12 s only');
+  assert.ok(await c.clock.until(() => c.released.includes(w.id), 10_000));
+  for (let i = 0; i < 20; i++) {
+    await c.clock.advance(1000);
+    if (i > 1) assert.equal(c.state.value(`c/m/${w.id}`), undefined);
+  }
+});
+
+test('a cloud that is down is asked one rental at a time, and rented from when it is back', async () => {
+  const c = new FakeCluster(['n0']);
+  c.capacity = true;
+  c.cloudDown = true;
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-1', { cpus: 8, pieces: 4 })));
+  await c.clock.advance(30_000);
+  assert.ok(c.rented.length >= 5 && c.rented.length <= 20, `${c.rented.length} requests`);
+  const before = c.workers.length;
+  c.cloudDown = false;
+  assert.ok(await c.clock.until(() => c.workers.length > before, 10_000));
+});
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -36,7 +36,7 @@
     zones: ['a', 'b'],
     skewMs: 1000,
     teams: [{ name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 }],
-    objectives: [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }],
+    objectives: [],
     workers: { reportS: 3, leaseS: LEASE_S, gangWaitS: 40, gangPeerS: 5, cancelS: 45 },
     stateLimits: { rps: 600, writeRps: 300, valueKb: 8, txnOps: 16 },
     cloudLimits: { rps: 30, listLagS: 6 },
@@ -57,6 +57,10 @@
   private readonly reportsTo = new Map<FakeWorker, string>();
   readonly silent = new Set<FakeWorker>();
   capacity = false;
+  cloudDown = false;
+  /** Machines that the list still shows although they are gone. */
+  readonly ghosts: FakeWorker[] = [];
+  objectives: Settings['objectives'] = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }];
   private runs = 0;
 
   constructor(private readonly names: string[]) {
@@ -84,7 +88,7 @@
   startNode(name: string): Running {
     const http = this.net.requester(name);
     const names = new Names();
-    const s = settings(name, this.names);
+    const s = { ...settings(name, this.names), objectives: this.objectives };
     for (const t of s.teams) names.teams.index(t.name);
     const stopped = { value: false };
     // A process that was killed runs nothing any more.
@@ -212,6 +216,7 @@
     if (path === '/machines' && method === 'POST') {
       const r = body as (typeof this.rented)[number];
       this.rented.push(r);
+      if (this.cloudDown) return { status: 503, body: { error: 'trouble' } };
       if (!this.capacity) return { status: 503, body: { error: 'no capacity' } };
       const workers: string[] = [];
       for (let i = 0; i < r.count; i++) {
@@ -229,7 +234,7 @@
       }
       return { status: 200, body: {} };
     }
-    const workers = this.workers.map((w) => ({
+    const workers = [...this.workers, ...this.ghosts].map((w) => ({
       id: w.id,
       addr: w.addr,
       flavor: w.flavor,
