--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -207,7 +207,8 @@
             ? [
                 0,
                 this.wastes(job, m) ? 1 : 0,
-                this.fetchS(job, m),
+                // An image matters only to a task that starts now; what is booked for later may well find it fetched.
+                c.start > this.now ? 0 : this.fetchS(job, m),
                 -this.profiles[m]!.load(this.now),
                 c.start,
               ]
