--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -33,6 +33,8 @@
 }
 
 const TIMEOUT_MS = 5000;
+/** The most that one node takes of the rate while the others need less. */
+const MOST_OF_ALL = 0.6;
 
 /** The cloud, within this node's part of its rate. */
 export class Cloud {
@@ -46,7 +48,7 @@
     nodes: number,
   ) {
     const part = (0.85 * rps) / nodes;
-    this.limiter = new Limiter(clock, part, Math.max(1, part * 2));
+    this.limiter = new Limiter(clock, part, Math.max(1, part * 2), Math.max(part, MOST_OF_ALL * rps));
   }
 
   async types(): Promise<MachineType[]> {
@@ -99,7 +101,9 @@
     try {
       // Lists and returns come before rentals: probing for capacity must not keep a node from seeing what it has.
       await this.limiter.take(1, method === 'GET' || path === CLOUD_PATHS.release, 3000);
-      return await this.http.request(this.addr, method, path, body, TIMEOUT_MS);
+      const answer = await this.http.request(this.addr, method, path, body, TIMEOUT_MS);
+      if (answer.status === 429) this.limiter.refused();
+      return answer;
     } catch (error) {
       if (error instanceof Overloaded) throw new CloudFailure(error.message);
       if (error instanceof HttpFailure) throw new CloudFailure(error.message, error.sent);
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -1,4 +1,4 @@
-import { type Amounts, Profile } from './profile.js';
+import { type Amounts, fitCount, Profile } from './profile.js';
 
 /** A machine as the plan sees it. All names are dense indices. */
 export interface PlanMachine {
@@ -61,6 +61,8 @@
 /** A machine with so many bookings takes no more for the time being. */
 const MAX_BOOKINGS = 48;
 const MAX_GANG = 4096;
+/** So many moments at which a gang might fit are looked at closely. */
+const GANG_TRIES = 16;
 /** Services run until they are cancelled. */
 const FOREVER = 1e9;
 
@@ -69,20 +71,21 @@
   gpus: number;
 }
 
-interface Candidate {
-  machine: number;
-  start: number;
-  end: number;
-}
+/** No start on this machine. */
+const NEVER = Number.POSITIVE_INFINITY;
 
 /**
  * The plan of one shard: what is booked on each machine and when. It is built anew from the tasks that the machines
- * hold and the accepted jobs in their order, which trims it by the reports.
+ * hold and the accepted jobs in their order, which trims it by the reports. The tasks of a job are alike, so where one
+ * could go is worked out once per job and machine, and again only for a machine that has been booked meanwhile.
  */
 export class Plan {
   readonly bookings: Booking[] = [];
   private readonly profiles: Profile[];
   private readonly teams = new Map<number, Profile>();
+  /** Of the job being booked: when a task could start on each machine, and how long it would take there. */
+  private readonly starts: Float64Array;
+  private readonly spans: Float64Array;
 
   constructor(
     private readonly now: number,
@@ -96,17 +99,19 @@
           gpus: cap.gpus > 0 ? cap.gpus : Number.POSITIVE_INFINITY,
           memoryGb: Number.POSITIVE_INFINITY,
         };
-        this.teams.set(team, new Profile(size, now, Number.POSITIVE_INFINITY));
+        this.teams.set(team, new Profile(size, now, now, Number.POSITIVE_INFINITY));
       }
     });
     this.profiles = machines.map((m) => {
-      const profile = new Profile(m.size, Math.max(now, m.readyAt), m.until);
+      const profile = new Profile(m.size, now, Math.max(now, m.readyAt), m.until);
       for (const h of m.held) {
         profile.add(now, h.end, h.need);
         this.teams.get(h.team)?.add(now, h.end, h.need);
       }
       return profile;
     });
+    this.starts = new Float64Array(machines.length);
+    this.spans = new Float64Array(machines.length);
   }
 
   /** Counts what may be held somewhere unseen against every team's limit. */
@@ -151,31 +156,55 @@
    * booked, so that no other task moves.
    */
   startEarly(): void {
+    let job: PlanJob | null = null;
+    let open: number[] = [];
     for (const b of this.bookings) {
       if (b.start <= this.now || b.job.kind === 'gang') continue;
-      this.lift(b);
-      let best: Candidate | null = null;
-      let bestRank: number[] = [];
-      for (let m = 0; m < this.machines.length; m++) {
-        const c = this.candidate(b.job, m, this.fixedZone(b));
-        if (!c || c.start > this.now || (c.end > b.job.deadline && c.end > b.end)) continue;
-        const rank = [
-          this.wastes(b.job, m) ? 1 : 0,
-          this.fetchS(b.job, m),
-          -this.profiles[m]!.load(this.now),
-        ];
-        if (!best || smaller(rank, bestRank)) {
-          best = c;
-          bestRank = rank;
-        }
+      if (b.job !== job) {
+        job = b.job;
+        open = this.openNow(job);
       }
-      if (best) {
-        b.machine = best.machine;
-        b.start = best.start;
-        b.end = best.end;
+      if (open.length > 0) this.pullForward(b, open);
+    }
+  }
+
+  /** Machines where a task of the job fits from now on, the best first. */
+  private openNow(job: PlanJob): number[] {
+    const open: number[] = [];
+    for (let m = 0; m < this.machines.length; m++) {
+      if (!this.allowed(job, m, job.zone)) continue;
+      if (this.profiles[m]!.size >= MAX_BOOKINGS) continue;
+      if (this.profiles[m]!.room(this.now, this.spanOn(job, m), job.need, 1) > 0) open.push(m);
+    }
+    return open.sort(
+      (a, b) =>
+        this.waste(job, a) - this.waste(job, b) ||
+        this.fetchS(job, a) - this.fetchS(job, b) ||
+        this.profiles[b]!.load - this.profiles[a]!.load,
+    );
+  }
+
+  private pullForward(b: Booking, open: number[]): void {
+    const zone = this.fixedZone(b);
+    this.lift(b);
+    for (let i = 0; i < open.length; i++) {
+      const m = open[i]!;
+      if (zone !== null && this.machines[m]!.zone !== zone) continue;
+      const span = this.spanOn(b.job, m);
+      const end = this.now + span;
+      if (end > b.job.deadline && end > b.end) continue;
+      if (this.profiles[m]!.room(this.now, span, b.job.need, 1) === 0) {
+        open.splice(i--, 1);
+        continue;
       }
-      this.put(b);
+      const team = this.teams.get(b.job.team);
+      if (team && team.room(this.now, span, b.job.need, 1) === 0) break;
+      b.machine = m;
+      b.start = this.now;
+      b.end = end;
+      break;
     }
+    this.put(b);
   }
 
   private fixedZone(b: Booking): number | null {
@@ -192,37 +221,33 @@
     const perZone = new Map(job.present);
     const half = Math.ceil(job.total / 2);
     const tasks = job.tasks.slice(0, BOOKED_TASKS);
+    const team = this.teams.get(job.team);
+    let teamFrom = this.now;
+    let longest = 0;
+    for (let m = 0; m < this.machines.length; m++) {
+      this.starts[m] = NEVER;
+      if (!this.allowed(job, m, zone)) continue;
+      this.spans[m] = this.spanOn(job, m);
+      longest = Math.max(longest, this.spans[m]!);
+      this.estimate(job, m, this.now);
+    }
     let finish = this.now;
     let placed = 0;
     for (const task of tasks) {
-      let best: Candidate | null = null;
-      let bestRank: number[] = [];
-      for (let m = 0; m < this.machines.length; m++) {
-        const where = this.machines[m]!.zone;
-        if (job.spread && (perZone.get(where) ?? 0) >= half) continue;
-        const c = this.candidate(job, m, zone);
-        if (!c) continue;
-        const rank =
-          c.end <= job.deadline
-            ? [
-                0,
-                this.wastes(job, m) ? 1 : 0,
-                // An image matters only to a task that starts now; what is booked for later may well find it fetched.
-                c.start > this.now ? 0 : this.fetchS(job, m),
-                -this.profiles[m]!.load(this.now),
-                c.start,
-              ]
-            : [1, c.end, c.start];
-        if (!best || smaller(rank, bestRank)) {
-          best = c;
-          bestRank = rank;
-        }
+      if (team) {
+        const from = team.earliest(teamFrom, longest, job.need);
+        if (from === null) break;
+        teamFrom = from;
       }
-      if (!best) break;
-      this.put(this.push({ job, task, ...best }));
-      const where = this.machines[best.machine]!.zone;
+      const m = this.bestFor(job, job.spread ? { perZone, half } : null, teamFrom, team);
+      if (m < 0) break;
+      const start = this.starts[m]!;
+      const end = start + this.spans[m]!;
+      this.put(this.push({ job, task, machine: m, start, end }));
+      this.estimate(job, m, start);
+      const where = this.machines[m]!.zone;
       perZone.set(where, (perZone.get(where) ?? 0) + 1);
-      finish = Math.max(finish, best.end);
+      finish = Math.max(finish, end);
       placed++;
     }
     if (placed < tasks.length) return null;
@@ -230,22 +255,51 @@
     return this.now + (finish - this.now) * Math.max(1, job.tasks.length / Math.max(1, tasks.length));
   }
 
-  private candidate(job: PlanJob, m: number, zone: number | null): Candidate | null {
-    if (!this.allowed(job, m, zone)) return null;
+  private estimate(job: PlanJob, m: number, from: number): void {
     const profile = this.profiles[m]!;
-    if (profile.size >= MAX_BOOKINGS) return null;
-    const span = this.spanOn(job, m);
-    const team = this.teams.get(job.team);
-    let t: number | null = this.now;
-    for (let i = 0; i < 40; i++) {
-      t = profile.earliest(t, span, job.need);
-      if (t === null || !team) break;
-      const free: number | null = team.earliest(t, span, job.need);
-      if (free === null) return null;
-      if (free === t) break;
-      t = free;
+    const full = profile.size >= MAX_BOOKINGS;
+    this.starts[m] = full ? NEVER : (profile.earliest(from, this.spans[m]!, job.need) ?? NEVER);
+  }
+
+  /** The machine that the next task goes to, by what is known of when it could start on each; -1 when there is none. */
+  private bestFor(
+    job: PlanJob,
+    spread: { perZone: ReadonlyMap<number, number>; half: number } | null,
+    teamFrom: number,
+    team: Profile | undefined,
+  ): number {
+    for (;;) {
+      let best = -1;
+      for (let m = 0; m < this.machines.length; m++) {
+        if (this.starts[m] === NEVER) continue;
+        if (spread && (spread.perZone.get(this.machines[m]!.zone) ?? 0) >= spread.half) continue;
+        if (best < 0 || this.ranksBefore(job, m, best)) best = m;
+      }
+      if (best < 0 || !team) return best;
+      // The team's limit may allow the task only later; then that machine is weighed anew.
+      const start = this.starts[best]!;
+      const allowed = team.earliest(Math.max(start, teamFrom), this.spans[best]!, job.need) ?? NEVER;
+      if (allowed === start) return best;
+      if (allowed === NEVER) this.starts[best] = NEVER;
+      else this.estimate(job, best, allowed);
     }
-    return t === null ? null : { machine: m, start: t, end: t + span };
+  }
+
+  /** Whether a task goes rather to machine `a` than to `b`. */
+  private ranksBefore(job: PlanJob, a: number, b: number): boolean {
+    const endA = this.starts[a]! + this.spans[a]!;
+    const endB = this.starts[b]! + this.spans[b]!;
+    const lateA = endA > job.deadline;
+    if (lateA !== endB > job.deadline) return !lateA;
+    if (lateA) return endA < endB || (endA === endB && this.starts[a]! < this.starts[b]!);
+    const waste = this.waste(job, a) - this.waste(job, b);
+    if (waste !== 0) return waste < 0;
+    // An image matters only to a task that starts now; what is booked for later may well find it fetched.
+    const fetchA = this.starts[a]! > this.now ? 0 : this.fetchS(job, a);
+    const fetchB = this.starts[b]! > this.now ? 0 : this.fetchS(job, b);
+    if (fetchA !== fetchB) return fetchA < fetchB;
+    const load = this.profiles[a]!.load - this.profiles[b]!.load;
+    return load > 0 || (load === 0 && this.starts[a]! < this.starts[b]!);
   }
 
   private allowed(job: PlanJob, m: number, zone: number | null): boolean {
@@ -253,7 +307,9 @@
     if (machine.closed) return false;
     if (job.types && !job.types.has(machine.type)) return false;
     if (machine.spot && !job.spot) return false;
-    return (zone === null || machine.zone === zone) && (job.zone === null || machine.zone === job.zone);
+    if ((zone !== null && machine.zone !== zone) || (job.zone !== null && machine.zone !== job.zone))
+      return false;
+    return fitCount(machine.size, job.need, 1) > 0;
   }
 
   private fetchS(job: PlanJob, m: number): number {
@@ -267,47 +323,93 @@
   }
 
   /** A machine with GPUs is kept for those who need them while others do. */
-  private wastes(job: PlanJob, m: number): boolean {
-    return job.need.gpus === 0 && this.machines[m]!.size.gpus > 0;
+  private waste(job: PlanJob, m: number): number {
+    return job.need.gpus === 0 && this.machines[m]!.size.gpus > 0 ? 1 : 0;
   }
 
   private bookGang(job: PlanJob): number | null {
     const n = job.tasks.length;
     if (n === 0) return this.now;
     if (n > MAX_GANG) return null;
-    const zones = job.oneZone ? this.zones(job) : [job.zone];
-    const times = new Set<number>([this.now]);
-    for (let m = 0; m < this.machines.length; m++) {
-      if (!this.allowed(job, m, null)) continue;
-      const profile = this.profiles[m]!;
-      if (profile.readyAt > this.now) times.add(profile.readyAt);
-      for (const e of profile.endsAfter(this.now)) times.add(e);
-    }
     const team = this.teams.get(job.team);
-    for (const e of team?.endsAfter(this.now) ?? []) times.add(e);
-    const moments = [...times].sort((a, b) => a - b).slice(0, 120);
-    for (const t of moments) {
-      for (const zone of zones) {
-        const finish = this.gangAt(job, t, zone);
-        if (finish !== null) return finish;
+    const whole = { cpus: job.need.cpus * n, gpus: job.need.gpus * n, memoryGb: 0 };
+    const moments = this.gangMoments(job, n);
+    const together = new Map<number | null, number>();
+    let longest = 0;
+    let tries = 0;
+    for (let i = 0; i < moments.length; i++) {
+      const { at, zone, count, span } = moments[i]!;
+      longest = Math.max(longest, span);
+      together.set(zone, (together.get(zone) ?? 0) + count);
+      // What comes at the same moment in the same zone is counted together.
+      const next = moments[i + 1];
+      if (next && next.at === at && next.zone === zone) continue;
+      if (together.get(zone)! < n) continue;
+      const t = team ? team.earliest(at, longest, whole) : at;
+      if (t === null) return null;
+      const finish = this.gangAt(job, t, zone);
+      if (finish !== null) return finish;
+      if (++tries >= GANG_TRIES) break;
+    }
+    // Some time everything in a zone is free.
+    for (const [zone, count] of together) {
+      if (count < n) continue;
+      let at = this.now;
+      for (const [m, p] of this.profiles.entries()) {
+        if (this.allowed(job, m, zone)) at = Math.max(at, p.freeFrom);
       }
+      const t = team ? team.earliest(at, longest, whole) : at;
+      const finish = t === null ? null : this.gangAt(job, t, zone);
+      if (finish !== null) return finish;
     }
     return null;
   }
 
+  /** From when on each machine could take some, and all that it can hold, of a gang's tasks; in order of time. */
+  private gangMoments(
+    job: PlanJob,
+    n: number,
+  ): { at: number; zone: number | null; count: number; span: number }[] {
+    const moments = [];
+    for (let m = 0; m < this.machines.length; m++) {
+      if (!this.allowed(job, m, job.zone)) continue;
+      const zone = job.oneZone ? this.machines[m]!.zone : job.zone;
+      const profile = this.profiles[m]!;
+      const span = this.spanOn(job, m);
+      const at = profile.earliest(this.now, span, job.need);
+      if (at === null) continue;
+      const most = fitCount(this.machines[m]!.size, job.need, n);
+      const count = profile.room(at, span, job.need, most);
+      moments.push({ at, zone, count, span });
+      if (count === most) continue;
+      const { cpus, gpus, memoryGb } = job.need;
+      const full = { cpus: cpus * most, gpus: gpus * most, memoryGb: memoryGb * most };
+      const later = profile.earliest(at, span, full);
+      if (later !== null) moments.push({ at: later, zone, count: most - count, span });
+    }
+    return moments.sort((a, b) => a.at - b.at || (a.zone ?? 0) - (b.zone ?? 0));
+  }
+
   private gangAt(job: PlanJob, t: number, zone: number | null): number | null {
     const n = job.tasks.length;
     const half = Math.ceil(n / 2);
-    const rooms: { m: number; count: number; rank: number[] }[] = [];
+    const rooms: { m: number; count: number; fetch: number }[] = [];
+    let sum = 0;
     for (let m = 0; m < this.machines.length; m++) {
       if (!this.allowed(job, m, zone)) continue;
       const count = this.profiles[m]!.room(t, this.spanOn(job, m), job.need, n);
       if (count === 0) continue;
-      // A gang waits for its slowest fetch, so a machine that has the image comes before a more loaded one.
-      const rank = [this.fetchS(job, m), this.wastes(job, m) ? 1 : 0, -this.profiles[m]!.load(this.now)];
-      rooms.push({ m, count, rank });
+      sum += count;
+      rooms.push({ m, count, fetch: this.fetchS(job, m) });
     }
-    rooms.sort((a, b) => compare(a.rank, b.rank));
+    if (sum < n) return null;
+    // A gang waits for its slowest fetch, so a machine that has the image comes before a more loaded one.
+    rooms.sort(
+      (a, b) =>
+        a.fetch - b.fetch ||
+        this.waste(job, a.m) - this.waste(job, b.m) ||
+        this.profiles[b.m]!.load - this.profiles[a.m]!.load,
+    );
     const perZone = new Map<number, number>();
     const picked: number[] = [];
     for (const r of rooms) {
@@ -345,13 +447,3 @@
     this.teams.get(b.job.team)?.remove(b.start, b.end, b.job.need);
   }
 }
-
-function compare(a: readonly number[], b: readonly number[]): number {
-  const n = Math.min(a.length, b.length);
-  for (let i = 0; i < n; i++) if (a[i] !== b[i]) return a[i]! - b[i]!;
-  return 0;
-}
-
-function smaller(a: readonly number[], b: readonly number[]): boolean {
-  return compare(a, b) < 0;
-}
--- a/src/plan/profile.ts
+++ b/src/plan/profile.ts
@@ -6,115 +6,157 @@
 }
 
 const SLACK = 1e-6;
+/** Load counts booked time no further ahead than this, so that a service does not outweigh everything. */
+const LOAD_HORIZON_S = 3600;
 
-/** Booked use of one machine, or of one team, over time. Times are seconds on the steady clock. */
+/**
+ * Booked use of one machine, or of one team, over time, as steps of what is free: questions cost one walk along the
+ * steps, whatever the number of bookings. Times are seconds on the steady clock.
+ */
 export class Profile {
-  private readonly starts: number[] = [];
-  private readonly ends: number[] = [];
-  private readonly needs: Amounts[] = [];
+  /** `cpus[i]`, `gpus[i]` and `memory[i]` are free from `times[i]` until `times[i + 1]`, the last ones for good. */
+  private readonly times: number[] = [Number.NEGATIVE_INFINITY];
+  private readonly cpus: number[];
+  private readonly gpus: number[];
+  private readonly memory: number[];
+  private booked = 0;
+  private loaded = 0;
 
   constructor(
     private readonly cap: Amounts,
-    private readonly from: number,
+    private readonly now: number,
+    readonly readyAt: number,
     private readonly until: number,
-  ) {}
+  ) {
+    this.cpus = [cap.cpus];
+    this.gpus = [cap.gpus];
+    this.memory = [cap.memoryGb];
+  }
 
+  /** How many bookings there are. */
   get size(): number {
-    return this.starts.length;
+    return this.booked;
+  }
+
+  /** Booked time left, weighted by the share of the machine that it takes. */
+  get load(): number {
+    return this.loaded;
   }
 
   add(start: number, end: number, need: Amounts): void {
-    this.starts.push(start);
-    this.ends.push(end);
-    this.needs.push(need);
+    this.booked++;
+    this.loaded += this.weight(start, end, need);
+    this.change(start, end, need, -1);
   }
 
   remove(start: number, end: number, need: Amounts): void {
-    for (let i = this.starts.length - 1; i >= 0; i--) {
-      if (this.starts[i] === start && this.ends[i] === end && this.needs[i] === need) {
-        const last = this.starts.length - 1;
-        this.starts[i] = this.starts[last]!;
-        this.ends[i] = this.ends[last]!;
-        this.needs[i] = this.needs[last]!;
-        this.starts.pop();
-        this.ends.pop();
-        this.needs.pop();
-        return;
-      }
-    }
+    this.booked--;
+    this.loaded -= this.weight(start, end, need);
+    this.change(start, end, need, 1);
   }
 
   /** How many times `need` fits throughout [t, t + span), up to `most`. */
   room(t: number, span: number, need: Amounts, most: number): number {
     const end = t + span;
-    if (t < this.from || end > this.until) return 0;
-    let count = this.roomAt(t, need, most);
-    for (let i = 0; i < this.starts.length && count > 0; i++) {
-      const s = this.starts[i]!;
-      if (s > t && s < end) count = Math.min(count, this.roomAt(s, need, most));
-    }
+    if (t < this.readyAt || end > this.until) return 0;
+    let count = most;
+    let i = this.stepAt(t);
+    do {
+      count = Math.min(count, this.countAt(i, need, count));
+      i++;
+    } while (count > 0 && i < this.times.length && this.times[i]! < end);
     return count;
   }
 
   /** The first moment not before `t` from which `need` fits for `span`; null when there is none. */
   earliest(t: number, span: number, need: Amounts): number | null {
-    if (
-      need.cpus > this.cap.cpus + SLACK ||
-      need.gpus > this.cap.gpus + SLACK ||
-      need.memoryGb > this.cap.memoryGb + SLACK
-    ) {
-      return null;
-    }
-    const first = Math.max(t, this.from);
-    if (this.room(first, span, need, 1) > 0) return first;
-    let best: number | null = null;
-    for (let i = 0; i < this.ends.length; i++) {
-      const e = this.ends[i]!;
-      if (e > first && (best === null || e < best) && this.room(e, span, need, 1) > 0) best = e;
+    const last = this.times.length;
+    let start = Math.max(t, this.readyAt);
+    let i = this.stepAt(start);
+    for (;;) {
+      if (start + span > this.until) return null;
+      if (this.fits(i, need)) {
+        let j = i + 1;
+        while (j < last && this.times[j]! < start + span && this.fits(j, need)) j++;
+        if (j >= last || this.times[j]! >= start + span) return start;
+        i = j;
+      }
+      do i++;
+      while (i < last && !this.fits(i, need));
+      if (i >= last) return null;
+      start = this.times[i]!;
     }
-    return best;
   }
 
-  /** Ends of bookings after `t`. */
-  endsAfter(t: number): number[] {
-    return this.ends.filter((e) => e > t && Number.isFinite(e));
+  /** From when on nothing is booked any more. */
+  get freeFrom(): number {
+    return Math.max(this.readyAt, this.now, this.times.at(-1)!);
   }
 
-  get readyAt(): number {
-    return this.from;
+  private weight(start: number, end: number, need: Amounts): number {
+    const left = Math.min(end, this.now + LOAD_HORIZON_S) - Math.max(start, this.now);
+    if (left <= 0) return 0;
+    let share = this.cap.cpus > 0 ? need.cpus / this.cap.cpus : 0;
+    if (this.cap.gpus > 0) share = Math.max(share, need.gpus / this.cap.gpus);
+    if (this.cap.memoryGb > 0) share = Math.max(share, need.memoryGb / this.cap.memoryGb);
+    return left * share;
   }
 
-  /** Booked time left, weighted by the share of the machine that it takes. */
-  load(now: number): number {
-    let sum = 0;
-    for (let i = 0; i < this.starts.length; i++) {
-      const left = Math.min(this.ends[i]!, now + 3600) - Math.max(this.starts[i]!, now);
-      if (left > 0) sum += left * this.share(this.needs[i]!);
+  private change(start: number, end: number, need: Amounts, sign: number): void {
+    if (end <= start) return;
+    const from = this.cut(start);
+    const to = end === Number.POSITIVE_INFINITY ? this.times.length : this.cut(end);
+    for (let i = from; i < to; i++) {
+      this.cpus[i]! += sign * need.cpus;
+      this.gpus[i]! += sign * need.gpus;
+      this.memory[i]! += sign * need.memoryGb;
     }
-    return sum;
   }
 
-  private share(need: Amounts): number {
-    let share = this.cap.cpus > 0 ? need.cpus / this.cap.cpus : 0;
-    if (this.cap.gpus > 0) share = Math.max(share, need.gpus / this.cap.gpus);
-    if (this.cap.memoryGb > 0 && Number.isFinite(this.cap.memoryGb)) {
-      share = Math.max(share, need.memoryGb / this.cap.memoryGb);
+  /** The step that holds `t`. */
+  private stepAt(t: number): number {
+    let low = 0;
+    let high = this.times.length - 1;
+    while (low < high) {
+      const mid = (low + high + 1) >> 1;
+      if (this.times[mid]! <= t) low = mid;
+      else high = mid - 1;
     }
-    return share;
+    return low;
   }
 
-  private roomAt(t: number, need: Amounts, most: number): number {
-    let { cpus, gpus, memoryGb } = this.cap;
-    for (let i = 0; i < this.starts.length; i++) {
-      if (this.starts[i]! <= t && t < this.ends[i]!) {
-        const n = this.needs[i]!;
-        cpus -= n.cpus;
-        gpus -= n.gpus;
-        memoryGb -= n.memoryGb;
-      }
-    }
-    return fitCount({ cpus, gpus, memoryGb }, need, most);
+  /** Makes a step begin at `t`; returns its index. */
+  private cut(t: number): number {
+    const i = this.stepAt(t);
+    if (this.times[i] === t) return i;
+    insert(this.times, i + 1, t);
+    insert(this.cpus, i + 1, this.cpus[i]!);
+    insert(this.gpus, i + 1, this.gpus[i]!);
+    insert(this.memory, i + 1, this.memory[i]!);
+    return i + 1;
   }
+
+  private fits(i: number, need: Amounts): boolean {
+    return (
+      need.cpus <= this.cpus[i]! + SLACK &&
+      need.gpus <= this.gpus[i]! + SLACK &&
+      need.memoryGb <= this.memory[i]! + SLACK
+    );
+  }
+
+  private countAt(i: number, need: Amounts, most: number): number {
+    let count = most;
+    if (need.cpus > 0) count = Math.min(count, Math.floor((this.cpus[i]! + SLACK) / need.cpus));
+    if (need.gpus > 0) count = Math.min(count, Math.floor((this.gpus[i]! + SLACK) / need.gpus));
+    if (need.memoryGb > 0) count = Math.min(count, Math.floor((this.memory[i]! + SLACK) / need.memoryGb));
+    return Math.max(0, count);
+  }
+}
+
+function insert(list: number[], at: number, value: number): void {
+  list.push(value);
+  for (let i = list.length - 1; i > at; i--) list[i] = list[i - 1]!;
+  list[at] = value;
 }
 
 /** How many times `need` fits into `free`, up to `most`. */
--- a/src/plan/rent.ts
+++ b/src/plan/rent.ts
@@ -42,3 +42,44 @@
   }
   return best && { option: best.option, count: best.count };
 }
+
+/**
+ * What to rent for several shortages, the first one first: what is left on the machines rented for one serves the next.
+ * No more than `most` machines of a kind.
+ */
+export function chooseRentals(
+  shortages: readonly Shortage[],
+  options: readonly RentOption[],
+  most: number,
+): { option: RentOption; count: number }[] {
+  const pool: { option: RentOption; free: Amounts }[] = [];
+  const counts = new Map<RentOption, number>();
+  for (const s of shortages) {
+    let left = s.count;
+    for (const p of pool) {
+      if (left <= 0) break;
+      if (optionFits(p.option, s)) left -= take(p.free, s.need, left);
+    }
+    const open = options.filter((o) => (counts.get(o) ?? 0) < most);
+    const choice = left > 0 ? chooseRental({ ...s, count: left }, open, most) : null;
+    if (!choice) continue;
+    const before = counts.get(choice.option) ?? 0;
+    const count = Math.min(choice.count, most - before);
+    counts.set(choice.option, before + count);
+    for (let i = 0; i < count; i++) {
+      const free = { ...choice.option.size };
+      left -= take(free, s.need, left);
+      pool.push({ option: choice.option, free });
+    }
+  }
+  return [...counts].map(([option, count]) => ({ option, count }));
+}
+
+/** Takes room for up to `most` tasks; returns for how many there was room. */
+function take(free: Amounts, need: Amounts, most: number): number {
+  const n = Math.max(0, fitCount(free, need, most));
+  free.cpus -= n * need.cpus;
+  free.gpus -= n * need.gpus;
+  free.memoryGb -= n * need.memoryGb;
+  return n;
+}
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -20,6 +20,8 @@
 const ACT_MS = 250;
 const GOSSIP_MS = 4000;
 const GIVEN_MS = 2500;
+/** Machines dealt in one transaction; together with their conditions they stay well below the largest request. */
+const DEALT_TOGETHER = 24;
 /** Lesser work elsewhere is stopped for urgent tasks only when they would wait longer than this, one machine at a time. */
 const CLEAR_WAIT_S = 8;
 const CLEAR_PAUSE_MS = 700;
@@ -143,8 +145,9 @@
     if (due.length === 0 || !this.mirror.entries.has(KEYS.teams)) return;
     this.dealing = true;
     try {
-      const part = due.slice(0, this.world.settings.stateLimits.txnOps);
-      const records = part.map((s): [string, MachineRecord] => [s.id, this.recordFor(s)]);
+      const part = due.slice(0, Math.min(DEALT_TOGETHER, this.world.settings.stateLimits.txnOps));
+      const counts = this.machineCounts();
+      const records = part.map((s): [string, MachineRecord] => [s.id, this.recordFor(s, counts)]);
       const result = await this.world.store.txn(
         [
           { key: KEYS.leader, version: this.term },
@@ -162,21 +165,15 @@
         for (const [id] of records) if (result.failed.includes(KEYS.machine(id))) this.strays.delete(id);
       }
     } catch (error) {
-      this.dealtHere.clear();
       if (!(error instanceof StateFailure)) throw error;
       this.world.log.info({ error: String(error) }, 'dealing machines failed');
     } finally {
-      this.dealtHere.clear();
       this.dealing = false;
     }
   }
 
-  private readonly dealtHere = new Map<string, number>();
-
-  private recordFor(s: Stray): MachineRecord {
-    const shard = this.poorest(s);
-    const key = `${shard}/${s.type}/${s.zone}`;
-    this.dealtHere.set(key, (this.dealtHere.get(key) ?? 0) + 1);
+  private recordFor(s: Stray, counts: Map<string, number[]>): MachineRecord {
+    const shard = this.poorest(s, counts);
     return {
       shard,
       addr: s.addr,
@@ -188,23 +185,38 @@
     };
   }
 
-  /** The shard with the fewest machines of this type for what its teams are guaranteed. */
-  private poorest(s: Stray): number {
-    const weights = this.weights();
-    const have = new Array<number>(this.shards).fill(0);
+  /** How many machines of each type, and of each type in each zone, every shard has. */
+  private machineCounts(): Map<string, number[]> {
+    const counts = new Map<string, number[]>();
     for (const [key, e] of this.mirror.entries) {
       if (!key.startsWith(KEYS.machines)) continue;
       const r = e.value as MachineRecord;
-      if (r.type === s.type && have[r.shard] !== undefined) have[r.shard]! += r.zone === s.zone ? 1.001 : 1;
+      this.count(counts, r.shard, r.type, r.zone);
     }
-    for (const [key, n] of this.dealtHere) {
-      const [shard, type, zone] = key.split('/');
-      if (type === s.type) have[Number(shard)]! += zone === s.zone ? 1.001 * n : n;
+    return counts;
+  }
+
+  private count(counts: Map<string, number[]>, shard: number, type: string, zone: string): void {
+    for (const kind of [type, `${type} ${zone}`]) {
+      let list = counts.get(kind);
+      if (!list) {
+        list = new Array<number>(this.shards).fill(0);
+        counts.set(kind, list);
+      }
+      if (list[shard] !== undefined) list[shard]++;
     }
+  }
+
+  /** The shard with the fewest machines of this type for what its teams are guaranteed; it counts as given there. */
+  private poorest(s: Stray, counts: Map<string, number[]>): number {
+    const weights = this.weights();
+    const have = (i: number) =>
+      (counts.get(s.type)?.[i] ?? 0) + 0.001 * (counts.get(`${s.type} ${s.zone}`)?.[i] ?? 0) + 0.5;
     let best = 0;
     for (let i = 1; i < this.shards; i++) {
-      if ((have[i]! + 0.5) / weights[i]! < (have[best]! + 0.5) / weights[best]!) best = i;
+      if (have(i) / weights[i]! < have(best) / weights[best]!) best = i;
     }
+    this.count(counts, best, s.type, s.zone);
     return best;
   }
 
--- a/src/shards/mirror.ts
+++ b/src/shards/mirror.ts
@@ -5,6 +5,8 @@
 
 const WAIT_MS = 10_000;
 const RETRY_MS = 300;
+/** Changes that come close together are read with one request: each watch counts against the service's rate. */
+const GATHER_MS = 80;
 
 /**
  * A copy of the keys under a prefix. It lags behind the state service, so it serves as a hint: whatever safety
@@ -37,6 +39,7 @@
           else this.apply({ key: c.key, value: c.value, version: c.version });
         }
         this.revision = Math.max(this.revision, result.revision);
+        if (result.changes.length > 0) await pause(this.clock, GATHER_MS);
       } catch (error) {
         this.log.debug({ error: String(error) }, 'watch failed');
         await pause(this.clock, RETRY_MS);
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -269,14 +269,15 @@
   private async keepList(): Promise<never> {
     for (;;) {
       try {
-        this.world.catalog.listed = await this.world.cloud.list();
-        this.world.catalog.listedAt = this.world.clock.now();
+        const listed = await this.world.cloud.list();
+        this.world.catalog.setListed(listed, this.world.clock.now());
         for (const s of this.shards.values()) s.listed();
         this.leader?.listed(this.world.catalog.listed);
       } catch (error) {
         this.world.log.debug({ error: String(error) }, 'machine list not read');
       }
-      await pause(this.world.clock, LIST_MS);
+      // The leader looks for machines that nobody has; for the others the list only confirms what reports tell.
+      await pause(this.world.clock, this.leader ? LIST_MS : LIST_MS * 3);
     }
   }
 
@@ -381,6 +382,7 @@
   async locate(id: string): Promise<JobEntry | null> {
     const known = this.routes.get(id);
     if (known) return known;
+    for (const s of this.shards.values()) if (s.ready && s.jobs.has(id)) return { shard: s.index };
     const stored = await this.world.store.get(KEYS.job(id));
     const entry = stored && readJobEntry(stored.value);
     if (stored && !entry) throw new Unavailable('unreadable record');
@@ -465,14 +467,14 @@
   // --- workers
 
   report(r: Report): ReportAnswer {
-    const entry = this.members.mirror.entries.get(KEYS.machine(r.machine));
-    const record = entry && readMachineRecord(entry.value);
     for (const s of this.shards.values()) {
       const m = s.fleet.machines.get(r.machine);
       if (!m) continue;
       const body = s.report(m, r);
       return body ? { kind: 'orders', body } : { kind: 'busy' };
     }
+    const entry = this.members.mirror.entries.get(KEYS.machine(r.machine));
+    const record = entry && readMachineRecord(entry.value);
     if (!record) {
       this.stray(r);
       return { kind: 'busy' };
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -6,8 +6,9 @@
 import { type HeldBooking, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
 import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
-import { chooseRental, type RentOption, type Shortage } from '../plan/rent.js';
+import { chooseRentals, type RentOption, type Shortage } from '../plan/rent.js';
 import { StateFailure } from '../state/store.js';
+import { RELEASE_LIMIT, RENT_LIMIT } from '../wire/cloud.js';
 import type { Condition, Entry } from '../wire/state.js';
 import { type JobSpec, type JobStatus, PRIORITY } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
@@ -48,6 +49,11 @@
 const DEFAULT_SLACK = 1.5;
 const TICK_MS = 1000;
 const STIR_MS = 30;
+/** Planning takes no more than one part in so many of this node's time, however much there is to plan. */
+const PLAN_SHARE = 4;
+const PLAN_PAUSE_MOST_MS = 2000;
+/** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
+const ADMIT_FRESH_MS = 1000;
 const ENDED_KEPT = 5000;
 /** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
 const RENT_AFTER_MS = 900;
@@ -74,7 +80,13 @@
 const PREEMPT_PAUSE_MS = 12_000;
 /** A machine promised to another shard is cleared by then, or kept. */
 const PROMISE_MS = 15_000;
-const MAX_PENDING_RENTALS = 4;
+/** Records of machines that go into one transaction, so that it stays well below the largest request. */
+const TXN_MACHINES = 24;
+/** So many empty machines of a kind are told at once: no more can be moved before they are told again. */
+const SPARES_TOLD = 24;
+const MAX_PENDING_RENTALS = 6;
+/** So many waiting jobs are looked at in one plan when room is made for urgent work. */
+const PREEMPT_JOBS = 6;
 
 /** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
 export class Shard {
@@ -91,6 +103,9 @@
   private attempts = 0;
   private stirred = false;
   private ticking = false;
+  /** Before this moment there is no other plan. */
+  private planNotBefore = 0;
+  private readonly admissions = new Map<number, { plan: Plan; at: number }>();
   private shortSince = new Map<string, number>();
   private needs: Gossip['needs'] = [];
   private booked = new Set<string>();
@@ -182,9 +197,9 @@
   stir(): void {
     if (this.stirred || this.stopped) return;
     this.stirred = true;
-    this.world.clock.after(STIR_MS, () => {
+    this.world.clock.after(Math.max(STIR_MS, this.planNotBefore - this.world.clock.now()), () => {
       this.stirred = false;
-      this.tick();
+      this.guarded(() => this.replan(this.world.clock.now()));
     });
   }
 
@@ -214,7 +229,7 @@
 
   private addMachine(id: string, r: MachineRecord, version: number): void {
     const now = this.world.clock.now();
-    const listed = this.world.catalog.listed.find((l) => l.id === id);
+    const listed = this.world.catalog.listedById.get(id);
     this.fleet.machines.set(id, {
       id,
       addr: r.addr || listed?.addr || '',
@@ -559,8 +574,9 @@
       const finish = this.admit(trial);
       if (finish === null) {
         const entry = await this.records.entry(spec.id);
-        if (!entry) return { kind: 'refused', retryS: 3 };
-        return this.repeated(spec.id, entry.value as JobEntry);
+        if (entry) return this.repeated(spec.id, entry.value as JobEntry);
+        this.mutexes.delete(spec.id);
+        return { kind: 'refused', retryS: 3 };
       }
       const deadline = Math.round(wall + finish * 1000);
       const accepted = await this.catchLoss(
@@ -794,43 +810,80 @@
    */
   private admit(job: Job): number | null {
     const now = this.world.clock.now();
+    if (job.spec.kind === 'service') return 1e7;
+    const plan = this.admissionPlan(job.spec.priority, now);
+    const mark = plan.bookings.length;
+    const p = this.planJob(job, now)!;
+    let dueS = job.spec.deadlineS;
+    if (dueS !== null) {
+      const finish = plan.book({ ...p, deadline: now / 1000 + dueS });
+      if (finish === null || finish > now / 1000 + dueS) {
+        plan.undo(mark);
+        return null;
+      }
+    } else {
+      const earliest = plan.earliestFinish(p);
+      // No machine in sight: the longest way, from renting one on.
+      const fallback =
+        Math.max(60, ...this.world.catalog.all().map(([, t]) => t.bootS)) * 2 + this.runS(job.spec);
+      dueS = DEFAULT_SLACK * (earliest === null ? fallback : earliest - now / 1000);
+      plan.book({ ...p, deadline: now / 1000 + dueS });
+    }
+    // Work of lower priority comes after this job from now on.
+    for (const priority of this.admissions.keys()) {
+      if (priority < job.spec.priority) this.admissions.delete(priority);
+    }
+    return dueS;
+  }
+
+  /** All that work of a priority has to leave in its place, on the machines that there are or could be rented. */
+  private admissionPlan(priority: number, now: number): Plan {
+    const known = this.admissions.get(priority);
+    if (known && now - known.at < ADMIT_FRESH_MS) return known.plan;
     const { machines } = this.planMachines(now);
     for (const o of this.options(now)) {
       for (let i = 0; i < 2; i++) machines.push(this.virtual(o, (now + o.bootS * 1100) / 1000));
     }
     const plan = this.newPlan(now, machines);
     for (const other of this.inOrder()) {
-      if (other.spec.priority < job.spec.priority) break;
+      if (other.spec.priority < priority) break;
       const p = other.notBefore > now ? null : this.planJob(other, now);
       if (p) plan.book(p);
     }
-    const p = this.planJob(job, now)!;
-    if (job.spec.kind === 'service') return 1e7;
-    const dueS = job.spec.deadlineS;
-    if (dueS !== null) {
-      const finish = plan.book({ ...p, deadline: now / 1000 + dueS });
-      return finish !== null && finish <= now / 1000 + dueS ? dueS : null;
-    }
-    const earliest = plan.earliestFinish(p);
-    // No machine in sight: the longest way, from renting one on.
-    const fallback =
-      Math.max(60, ...this.world.catalog.all().map(([, t]) => t.bootS)) * 2 + this.runS(job.spec);
-    return DEFAULT_SLACK * (earliest === null ? fallback : earliest - now / 1000);
+    // A plan that took long to make serves longer.
+    const at = this.world.clock.now();
+    this.admissions.set(priority, { plan, at: at + (at - now) * (PLAN_SHARE - 1) });
+    return plan;
   }
 
   private tick(): void {
+    this.guarded(() => {
+      const now = this.world.clock.now();
+      this.drain(now);
+      this.fleet.pushStops();
+      this.keepPromises(now);
+      this.returnIdle(now);
+      this.stir();
+    });
+  }
+
+  /**
+   * A controller has a fraction of a core, and its lease must be renewed and users answered beside the planning: after
+   * each plan there is a pause in proportion to what it took.
+   */
+  private replan(now: number): void {
+    this.schedule(now);
+    this.fleet.pushStops();
+    const after = this.world.clock.now();
+    this.planNotBefore = after + Math.min(PLAN_PAUSE_MOST_MS, (after - now) * (PLAN_SHARE - 1));
+  }
+
+  private guarded(work: () => void): void {
     if (this.ticking || !this.loaded || this.stopped) return;
     this.ticking = true;
     try {
       this.fleet.tick();
-      if (this.entitled) {
-        const now = this.world.clock.now();
-        this.drain(now);
-        this.schedule(now);
-        this.fleet.pushStops();
-        this.keepPromises(now);
-        this.returnIdle(now);
-      }
+      if (this.entitled) work();
     } catch (error) {
       this.log.error({ error: error instanceof Error ? error.stack : String(error) }, 'tick failed');
     } finally {
@@ -898,10 +951,16 @@
       const job = byOrder.get(b.job.id);
       if (job && b.start > now / 1000 + PREEMPT_WAIT_S) waiting.add(job);
     }
-    const usage = this.teamUsage();
-    for (const job of [...waiting].sort((a, b) => b.spec.priority - a.spec.priority || a.order - b.order)) {
-      if (job.spec.priority <= PRIORITY.normal || (!job.fresh && !this.adopted)) continue;
-      if (now - (this.preemptedAt.get(job.spec.id) ?? Number.NEGATIVE_INFINITY) < PREEMPT_PAUSE_MS) continue;
+    const adopted = this.adopted;
+    const urgent = [...waiting]
+      .filter((job) => job.spec.priority > PRIORITY.normal && (job.fresh || adopted))
+      .filter(
+        (job) => now - (this.preemptedAt.get(job.spec.id) ?? Number.NEGATIVE_INFINITY) >= PREEMPT_PAUSE_MS,
+      )
+      .sort((a, b) => b.spec.priority - a.spec.priority || a.order - b.order)
+      .slice(0, PREEMPT_JOBS);
+    const usage = urgent.length > 0 ? this.teamUsage() : new Map<number, Amounts>();
+    for (const job of urgent) {
       const victims = this.victimsFor(job, usage, now);
       if (!victims || victims.length === 0) continue;
       this.preemptedAt.set(job.spec.id, now);
@@ -987,6 +1046,7 @@
   private dispatch(plan: Plan, refs: (Machine | null)[], byOrder: Map<number, Job>, now: number): void {
     const perMachine = new Map<Machine, StartOrder[]>();
     const free = new Map<Machine, Amounts>();
+    this.heldZones = null;
     const usage = this.teamUsage();
     const adopted = this.adopted;
     const gangs = new Map<Job, { m: Machine; index: number }[]>();
@@ -1017,7 +1077,9 @@
       const use = usage.get(job.team);
       if (use) for (const _ of parts) add(use, job.need);
       // Placed at once, so that the next check counts it.
-      for (const p of parts) this.pending.set(`${job.spec.id}/${p.index}`, p.m.zone);
+      const placed = this.pending.get(job.spec.id) ?? [];
+      for (const p of parts) placed.push(p.m.zone);
+      this.pending.set(job.spec.id, placed);
     };
     for (const [job, parts] of gangs) if (parts.length === job.spec.tasks) start(job, parts);
     for (const s of singles) start(s.job, [s]);
@@ -1030,7 +1092,9 @@
     }
   }
 
-  private readonly pending = new Map<string, number>();
+  /** Zones of the tasks that this round of starts has placed, by job. */
+  private readonly pending = new Map<string, number[]>();
+  private heldZones: Map<string, Map<number, number>> | null = null;
 
   private permitted(
     job: Job,
@@ -1063,19 +1127,31 @@
 
   private zonesPermit(job: Job, parts: { m: Machine; index: number }[]): boolean {
     if (!job.spec.oneZone && !job.spec.spread) return true;
-    const zones = new Map<number, number>();
+    const zones = new Map(this.zonesHeld().get(job.spec.id));
     const count = (zone: number) => zones.set(zone, (zones.get(zone) ?? 0) + 1);
-    for (const m of this.fleet.machines.values()) {
-      for (const h of m.held.values()) if (h.job === job.spec.id && h.state !== 'exited') count(m.zone);
-    }
-    const prefix = `${job.spec.id}/`;
-    for (const [task, zone] of this.pending) if (task.startsWith(prefix)) count(zone);
+    for (const zone of this.pending.get(job.spec.id) ?? []) count(zone);
     for (const p of parts) count(p.m.zone);
     if (job.spec.oneZone && zones.size > 1) return false;
     const half = Math.ceil(job.spec.tasks / 2);
     return !job.spec.spread || [...zones.values()].every((n) => n <= half);
   }
 
+  /** Where tasks of each job are or may be, by zone; worked out once for each round of starts. */
+  private zonesHeld(): Map<string, Map<number, number>> {
+    if (!this.heldZones) {
+      this.heldZones = new Map();
+      for (const m of this.fleet.machines.values()) {
+        for (const h of m.held.values()) {
+          if (h.state === 'exited') continue;
+          const zones = this.heldZones.get(h.job) ?? new Map<number, number>();
+          zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
+          this.heldZones.set(h.job, zones);
+        }
+      }
+    }
+    return this.heldZones;
+  }
+
   private nextAttempt(): number {
     // Terms are revisions of the state service, so no two owners ever use the same attempt number.
     if (this.attempts >= ATTEMPTS_PER_TERM - 1) throw this.lostOwnership();
@@ -1170,8 +1246,7 @@
     }
     const usage = this.teamUsage();
     const needs: Gossip['needs'] = [];
-    const options = this.options(now);
-    let rented = false;
+    const short: Shortage[] = [];
     for (const id of [...this.shortSince.keys()]) {
       const job = this.jobs.get(id);
       if (!job || !waiting.has(job)) this.shortSince.delete(id);
@@ -1182,27 +1257,22 @@
       const cap = this.underCap(job, usage);
       const soon = Math.min(w.soon, cap);
       if (soon <= 0) continue;
-      const s: Shortage = {
-        types: job.types,
-        zone: job.zone,
-        spot: job.spec.spot,
-        need: job.need,
-        count: soon,
-      };
       needs.push(this.need(job, soon, w.waitS));
+      // What this job may take of its team's limit is no longer there for the team's other jobs.
+      const use = usage.get(job.team);
+      if (use) addTimes(use, job.need, soon);
       const since = this.shortSince.get(job.spec.id) ?? now;
       this.shortSince.set(job.spec.id, since);
       const late = Math.min(w.late, cap);
-      if (late <= 0 || now - since < RENT_AFTER_MS || rented || this.rentals.size >= MAX_PENDING_RENTALS)
-        continue;
-      const choice = chooseRental({ ...s, count: late }, options, 8);
-      if (choice) {
-        rented = true;
-        void this.rent(choice.option, choice.count);
-      }
+      if (late <= 0 || now - since < RENT_AFTER_MS) continue;
+      short.push({ types: job.types, zone: job.zone, spot: job.spec.spot, need: job.need, count: late });
     }
     this.needs = needs;
-    if (rented) this.stir();
+    const places = MAX_PENDING_RENTALS - this.rentals.size;
+    if (short.length === 0 || places <= 0 || now < this.cloudPause.until) return;
+    const wanted = chooseRentals(short, this.options(now), RENT_LIMIT).slice(0, places);
+    for (const w of wanted) void this.rent(w.option, w.count);
+    if (wanted.length > 0) this.stir();
   }
 
   private need(job: Job, count: number, waitS: number): Gossip['needs'][number] {
@@ -1321,6 +1391,7 @@
   }
 
   private returnIdle(now: number): void {
+    const due: Machine[] = [];
     for (const m of this.fleet.machines.values()) {
       if (this.moving.has(m.id)) continue;
       const type = this.world.catalog.get(m.type);
@@ -1337,8 +1408,9 @@
         now - this.claimedAt > 10_000;
       const silent = m.lost && now - this.fleet.leaseEnd(m) > SILENT_RETURN_MS;
       const sick = m.errors >= 3 && m.held.size === 0 && m.synced;
-      if (m.leaving || idle || never || silent || sick) void this.giveBack(m);
+      if (m.leaving || idle || never || silent || sick) due.push(m);
     }
+    if (due.length > 0) void this.giveBack(due.slice(0, RELEASE_LIMIT));
   }
 
   /** Where tasks are expected to start sooner than a machine boots, idle machines are what makes it possible. */
@@ -1350,39 +1422,82 @@
     return hasty ? KEEP_LONG_MS : KEEP_SHORT_MS;
   }
 
-  /** Gives a machine back: marked durably first, so that no owner ever uses it again. */
-  private async giveBack(m: Machine): Promise<void> {
-    this.moving.add(m.id);
+  /** Gives machines back: marked durably first, so that no owner ever uses them again. */
+  private async giveBack(machines: Machine[]): Promise<void> {
+    for (const m of machines) this.moving.add(m.id);
     try {
-      if (!m.leaving) {
-        const version = await this.writeRecord(m, { state: 'leaving' });
-        m.leaving = true;
-        m.version = version;
-      }
-      await this.world.cloud.release([m.id]);
-      this.log.info({ machine: m.id }, 'machine returned');
-      await this.forget(m);
+      const marked = await this.markLeaving(machines);
+      if (marked.length === 0) return;
+      await this.world.cloud.release(marked.map((m) => m.id));
+      this.log.info({ machines: marked.map((m) => m.id) }, 'machines returned');
+      await this.forget(marked);
     } catch (error) {
-      this.log.info({ machine: m.id, error: String(error) }, 'returning failed');
+      this.log.info({ machines: machines.length, error: String(error) }, 'returning failed');
       await this.pause(3000);
     } finally {
-      this.moving.delete(m.id);
+      for (const m of machines) this.moving.delete(m.id);
     }
   }
 
-  /** The machine is surely no more. */
-  private async forget(m: Machine): Promise<void> {
-    this.fleet.remove(m);
-    const key = KEYS.machine(m.id);
+  /** The machines that are durably marked as leaving. */
+  private async markLeaving(machines: Machine[]): Promise<Machine[]> {
+    const marked = machines.filter((m) => m.leaving);
+    for (const part of this.inTxns(machines.filter((m) => !m.leaving))) {
+      const version = await this.markTogether(part);
+      for (const m of part) {
+        try {
+          // What cannot be marked together, since one record has changed or no answer came, is marked one by one.
+          m.version = version ?? (await this.writeRecord(m, { state: 'leaving' }));
+          m.leaving = true;
+          marked.push(m);
+        } catch (error) {
+          if (error instanceof NotOwner) throw error;
+          this.log.info({ machine: m.id, error: String(error) }, 'marking failed');
+        }
+      }
+    }
+    return marked;
+  }
+
+  private async markTogether(machines: Machine[]): Promise<number | null> {
     try {
-      const result = await this.world.store.txn([this.owned, { key, version: m.version }], [{ delete: key }]);
-      if (!result.ok) throw new StateFailure(`not deleted: ${result.failed.join(' ')}`, false);
-    } catch (error) {
-      const stored = await this.world.store.get(key).catch(() => undefined);
-      if (stored === null) return;
-      if (stored) m.version = stored.version;
-      this.log.info({ machine: m.id, error: String(error) }, 'machine record stays for now');
-      this.fleet.machines.set(m.id, { ...m, leaving: true });
+      const result = await this.world.store.txn(
+        [this.owned, ...machines.map((m) => ({ key: KEYS.machine(m.id), version: m.version }))],
+        machines.map((m) => ({ put: KEYS.machine(m.id), value: this.record(m, { state: 'leaving' }) })),
+      );
+      return result.ok ? result.revision : null;
+    } catch {
+      return null;
+    }
+  }
+
+  private inTxns<T>(items: T[]): T[][] {
+    const per = Math.max(1, Math.min(this.world.settings.stateLimits.txnOps, TXN_MACHINES));
+    const parts: T[][] = [];
+    for (let i = 0; i < items.length; i += per) parts.push(items.slice(i, i + per));
+    return parts;
+  }
+
+  /** The machines are surely no more. */
+  private async forget(machines: Machine[]): Promise<void> {
+    for (const m of machines) this.fleet.remove(m);
+    for (const part of this.inTxns(machines)) {
+      let unsure = part;
+      try {
+        const result = await this.world.store.txn(
+          [this.owned, ...part.map((m) => ({ key: KEYS.machine(m.id), version: m.version }))],
+          part.map((m) => ({ delete: KEYS.machine(m.id) })),
+        );
+        if (result.ok) unsure = [];
+      } catch (error) {
+        this.log.debug({ error: String(error) }, 'deleting machine records failed');
+      }
+      for (const m of unsure) {
+        const stored = await this.world.store.get(KEYS.machine(m.id)).catch(() => undefined);
+        if (stored === null) continue;
+        // Its record stays for now: it is given back once more, which does no harm.
+        this.fleet.machines.set(m.id, { ...m, version: stored?.version ?? m.version, leaving: true });
+      }
     }
   }
 
@@ -1391,7 +1506,7 @@
   /** Compares the machines with the cloud's list, which is late and may be older than the one before. */
   listed(): void {
     const now = this.world.clock.now();
-    const byId = new Map(this.world.catalog.listed.map((l) => [l.id, l]));
+    const byId = this.world.catalog.listedById;
     const patience = Math.max(15_000, this.world.settings.cloudLimits.listLagS * 4000);
     for (const m of this.fleet.machines.values()) {
       const l = byId.get(m.id);
@@ -1400,14 +1515,14 @@
         if (!m.addr && l.addr) m.addr = l.addr;
         if (l.state === 'failed' && !this.moving.has(m.id)) {
           this.log.info({ machine: m.id }, 'machine failed');
-          void this.giveBack(m);
+          void this.giveBack([m]);
         }
         continue;
       }
       const since = this.absentSince.get(m.id) ?? now;
       this.absentSince.set(m.id, since);
       const quiet = m.heardAt === null ? now - m.rentedAt > 60_000 : m.lost;
-      if (quiet && now - since > patience && !this.moving.has(m.id)) void this.giveBack(m);
+      if (quiet && now - since > patience && !this.moving.has(m.id)) void this.giveBack([m]);
     }
     for (const id of this.absentSince.keys()) if (!this.fleet.machines.has(id)) this.absentSince.delete(id);
   }
@@ -1415,8 +1530,12 @@
   gossip(node: string): Gossip {
     const n = this.world.names;
     const spares = [];
+    const kinds = new Map<string, number>();
     for (const m of this.fleet.machines.values()) {
       if (!this.isSpare(m) || this.moving.has(m.id) || m.closedUntil > this.world.clock.now()) continue;
+      const kind = optionKey(m.type, m.zone, m.spot);
+      kinds.set(kind, (kinds.get(kind) ?? 0) + 1);
+      if (kinds.get(kind)! > SPARES_TOLD) continue;
       spares.push({
         id: m.id,
         type: n.types.name(m.type),
@@ -1463,3 +1582,9 @@
   to.gpus += need.gpus;
   to.memoryGb += need.memoryGb;
 }
+
+function addTimes(to: Amounts, need: Amounts, times: number): void {
+  to.cpus += need.cpus * times;
+  to.gpus += need.gpus * times;
+  to.memoryGb += need.memoryGb * times;
+}
--- a/src/shards/world.ts
+++ b/src/shards/world.ts
@@ -36,6 +36,7 @@
 export class Catalog {
   private readonly byIndex = new Map<number, MachineType>();
   listed: ListedMachine[] = [];
+  listedById = new Map<string, ListedMachine>();
   listedAt = 0;
 
   constructor(private readonly names: Names) {}
@@ -48,6 +49,12 @@
     for (const t of types) this.byIndex.set(this.names.types.index(t.name), t);
   }
 
+  setListed(machines: ListedMachine[], at: number): void {
+    this.listed = machines;
+    this.listedById = new Map(machines.map((m) => [m.id, m]));
+    this.listedAt = at;
+  }
+
   get(type: number): MachineType | undefined {
     return this.byIndex.get(type);
   }
--- a/src/state/limiter.ts
+++ b/src/state/limiter.ts
@@ -10,25 +10,51 @@
 /** A request that waited too long for its turn; it was not sent. */
 export class Overloaded extends Error {}
 
+/** While requests wait and none is refused, a node uses more of what the others leave, in steps of this. */
+const GROWTH = 1.25;
+const GROW_EVERY_MS = 500;
+/** After a refusal a node keeps to its own part for so long. */
+const HUMBLE_MS = 5000;
+
 /**
  * A token bucket. Urgent requests go at once and put the bucket into debt, so that renewing a lease never waits
- * behind ordinary work.
+ * behind ordinary work. The rate is shared with other nodes, which mostly are not all busy at once: a node with
+ * requests waiting goes beyond its part, up to `most`, until the service refuses one.
  */
 export class Limiter {
   private level: number;
   private at: number;
+  private perSecond: number;
+  private grownAt = 0;
   private readonly waiting: Waiter[] = [];
   private armed = false;
 
   constructor(
     private readonly clock: Clock,
-    private readonly perSecond: number,
+    private readonly part: number,
     private readonly burst: number,
+    private readonly most = part,
   ) {
+    this.perSecond = part;
     this.level = burst;
     this.at = clock.now();
   }
 
+  /** The service has refused a request for its rate. */
+  refused(): void {
+    this.refill();
+    this.perSecond = this.part;
+    this.level = Math.min(this.level, 0);
+    this.grownAt = this.clock.now() + HUMBLE_MS;
+  }
+
+  private grow(): void {
+    const now = this.clock.now();
+    if (now - this.grownAt < GROW_EVERY_MS) return;
+    this.grownAt = now;
+    this.perSecond = Math.min(this.most, this.perSecond * GROWTH);
+  }
+
   /** True when nothing waits and there is room for `amount` now. */
   free(amount: number): boolean {
     this.refill();
@@ -64,6 +90,7 @@
 
   private drain(): void {
     this.refill();
+    this.grow();
     const now = this.clock.now();
     while (this.waiting.length > 0) {
       const first = this.waiting[0]!;
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock/clock.js';
+import { type Clock, pause } from '../clock/clock.js';
 import { type HttpAnswer, HttpFailure, type Requester } from '../http/client.js';
 import {
   type Change,
@@ -35,6 +35,11 @@
 }
 
 const TIMEOUT_MS = 2500;
+/** A request refused for the rate was not executed; it is sent again after this, for so long. */
+const REFUSED_PAUSE_MS = 150;
+const REFUSED_MOST_MS = 1500;
+/** The most that one node takes of the rates while the others need less. */
+const MOST_OF_ALL = 0.6;
 const PAGE = 500;
 
 /** The state service, within this node's part of its rates. */
@@ -43,15 +48,17 @@
   private readonly changes: Limiter;
 
   constructor(
-    clock: Clock,
+    private readonly clock: Clock,
     private readonly http: Requester,
     private readonly addr: string,
     limits: StateLimits,
   ) {
     // The service counts all nodes together; each keeps to its part, with some left for lease renewals.
     const part = 0.85 / limits.nodes;
-    this.requests = new Limiter(clock, limits.rps * part, limits.rps * part);
-    this.changes = new Limiter(clock, limits.writeRps * part, limits.writeRps * part);
+    const most = Math.max(part, MOST_OF_ALL);
+    const limiter = (rate: number) => new Limiter(clock, rate * part, rate * part, rate * most);
+    this.requests = limiter(limits.rps);
+    this.changes = limiter(limits.writeRps);
   }
 
   async get(key: string): Promise<Entry | null> {
@@ -138,19 +145,39 @@
     urgent: boolean,
     timeoutMs = TIMEOUT_MS,
   ): Promise<HttpAnswer> {
-    let answer: HttpAnswer;
+    const begun = this.clock.now();
+    for (;;) {
+      const answer = await this.sendOnce(method, path, body, changes, urgent, timeoutMs);
+      // 503 and 429 say that nothing was executed.
+      if (answer.status === 429) {
+        (changes > 0 ? this.changes : this.requests).refused();
+        if (this.clock.now() - begun < REFUSED_MOST_MS) {
+          await pause(this.clock, REFUSED_PAUSE_MS);
+          continue;
+        }
+      }
+      if (answer.status === 503 || answer.status === 429)
+        throw new StateFailure(`${path}: ${answer.status}`, false);
+      return answer;
+    }
+  }
+
+  private async sendOnce(
+    method: string,
+    path: string,
+    body: object | null,
+    changes: number,
+    urgent: boolean,
+    timeoutMs: number,
+  ): Promise<HttpAnswer> {
     try {
       await this.requests.take(1, urgent, 2000);
       if (changes > 0) await this.changes.take(changes, urgent, 2000);
-      answer = await this.http.request(this.addr, method, path, body, timeoutMs);
+      return await this.http.request(this.addr, method, path, body, timeoutMs);
     } catch (error) {
       if (error instanceof Overloaded) throw new StateFailure('over this node’s rate', false);
       if (error instanceof HttpFailure) throw new StateFailure(error.message, error.sent);
       throw error;
     }
-    // 503 and 429 say that nothing was executed.
-    if (answer.status === 503 || answer.status === 429)
-      throw new StateFailure(`${path}: ${answer.status}`, false);
-    return answer;
   }
 }
