--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -57,14 +57,18 @@
 const ENDED_KEPT = 5000;
 /** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
 const RENT_AFTER_MS = 900;
-/** An idle machine is kept this long where an aim is shorter than a boot, and else this short. */
+/** An idle machine is kept for long where nearly all tasks must start sooner than it boots, for some time where many. */
 const KEEP_LONG_MS = 180_000;
+const KEEP_SOME_MS = 30_000;
+const NEARLY_ALL = 0.95;
 const KEEP_SHORT_MS = 15_000;
 /** A deleted machine costs at least so much time, so giving it back earlier saves nothing. */
 const MIN_CHARGE_MS = 55_000;
 /** A kind of machine that is not to be had is asked for again after this, and after twice as long each time. */
 const NO_CAPACITY_MS = 15_000;
 const NO_CAPACITY_MOST_MS = 30_000;
+/** All shards asking for all kinds that are not to be had take no more than this of the cloud's rate. */
+const PROBING_SHARE = 0.2;
 /** While the cloud fails, one rental at a time is tried, at growing intervals. */
 const CLOUD_PAUSE_MS = 1000;
 const CLOUD_PAUSE_MOST_MS = 2500;
@@ -1356,7 +1360,13 @@
       this.blocked.delete(key);
       return;
     }
-    const pause = Math.min(NO_CAPACITY_MOST_MS, (this.blocked.get(key)?.pause ?? NO_CAPACITY_MS / 2) * 2);
+    const { rps } = this.world.settings.cloudLimits;
+    const kinds = this.world.catalog.all().reduce((sum, [, t]) => sum + 2 * t.zones.length, 0);
+    const most = (kinds * this.world.settings.nodes * 1000) / Math.max(0.1, rps * PROBING_SHARE);
+    const pause = Math.min(
+      Math.max(NO_CAPACITY_MOST_MS, most),
+      (this.blocked.get(key)?.pause ?? NO_CAPACITY_MS / 2) * 2,
+    );
     this.blocked.set(key, { until: this.world.clock.now() + pause, pause });
   }
 
@@ -1413,13 +1423,17 @@
     if (due.length > 0) void this.giveBack(due.slice(0, RELEASE_LIMIT));
   }
 
-  /** Where tasks are expected to start sooner than a machine boots, idle machines are what makes it possible. */
+  /**
+   * Where tasks are expected to start sooner than a machine boots, idle machines are what makes it possible: all of
+   * them where nearly every task must, and for about a boot where many may miss it.
+   */
   private keepMs(m: Machine): number {
     const bootS = this.world.catalog.get(m.type)?.bootS ?? 0;
-    const hasty = this.world.settings.objectives.some(
+    const hasty = this.world.settings.objectives.filter(
       (o) => o.kind !== 'finished' && o.withinS !== null && o.withinS < bootS * 1.5,
     );
-    return hasty ? KEEP_LONG_MS : KEEP_SHORT_MS;
+    if (hasty.length === 0) return KEEP_SHORT_MS;
+    return hasty.some((o) => (o.share ?? 1) >= NEARLY_ALL) ? KEEP_LONG_MS : KEEP_SOME_MS;
   }
 
   /** Gives machines back: marked durably first, so that no owner ever uses them again. */
