--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -81,6 +81,8 @@
  */
 export class Plan {
   readonly bookings: Booking[] = [];
+  /** Walks along a machine's or a team's steps so far: what a plan costs. */
+  looks = 0;
   private readonly profiles: Profile[];
   private readonly teams = new Map<number, Profile>();
   /** Of the job being booked: when a task could start on each machine, and how long it would take there. */
@@ -174,6 +176,7 @@
     for (let m = 0; m < this.machines.length; m++) {
       if (!this.allowed(job, m, job.zone)) continue;
       if (this.profiles[m]!.size >= MAX_BOOKINGS) continue;
+      this.looks++;
       if (this.profiles[m]!.room(this.now, this.spanOn(job, m), job.need, 1) > 0) open.push(m);
     }
     return open.sort(
@@ -193,6 +196,7 @@
       const span = this.spanOn(b.job, m);
       const end = this.now + span;
       if (end > b.job.deadline && end > b.end) continue;
+      this.looks++;
       if (this.profiles[m]!.room(this.now, span, b.job.need, 1) === 0) {
         open.splice(i--, 1);
         continue;
@@ -258,6 +262,7 @@
   private estimate(job: PlanJob, m: number, from: number): void {
     const profile = this.profiles[m]!;
     const full = profile.size >= MAX_BOOKINGS;
+    this.looks++;
     this.starts[m] = full ? NEVER : (profile.earliest(from, this.spans[m]!, job.need) ?? NEVER);
   }
 
@@ -278,6 +283,7 @@
       if (best < 0 || !team) return best;
       // The team's limit may allow the task only later; then that machine is weighed anew.
       const start = this.starts[best]!;
+      this.looks++;
       const allowed = team.earliest(Math.max(start, teamFrom), this.spans[best]!, job.need) ?? NEVER;
       if (allowed === start) return best;
       if (allowed === NEVER) this.starts[best] = NEVER;
@@ -376,6 +382,7 @@
       const zone = job.oneZone ? this.machines[m]!.zone : job.zone;
       const profile = this.profiles[m]!;
       const span = this.spanOn(job, m);
+      this.looks++;
       const at = profile.earliest(this.now, span, job.need);
       if (at === null) continue;
       const most = fitCount(this.machines[m]!.size, job.need, n);
@@ -397,6 +404,7 @@
     let sum = 0;
     for (let m = 0; m < this.machines.length; m++) {
       if (!this.allowed(job, m, zone)) continue;
+      this.looks++;
       const count = this.profiles[m]!.room(t, this.spanOn(job, m), job.need, n);
       if (count === 0) continue;
       sum += count;
--- a/src/plan/rent.ts
+++ b/src/plan/rent.ts
@@ -18,6 +18,8 @@
   spot: boolean;
   need: Amounts;
   count: number;
+  /** Tasks much like these, here and in other shortages, that would use what is left on a machine. */
+  alike?: number;
 }
 
 export function optionFits(o: RentOption, s: Shortage): boolean {
@@ -36,7 +38,7 @@
   let best: { option: RentOption; count: number; cost: number } | null = null;
   for (const option of options) {
     if (!optionFits(option, s)) continue;
-    const per = fitCount(option.size, s.need, s.count);
+    const per = fitCount(option.size, s.need, Math.max(s.count, s.alike ?? 0));
     const cost = option.price / per;
     if (!best || cost < best.cost) best = { option, count: Math.min(most, Math.ceil(s.count / per)), cost };
   }
@@ -54,6 +56,9 @@
 ): { option: RentOption; count: number }[] {
   const pool: { option: RentOption; free: Amounts }[] = [];
   const counts = new Map<RentOption, number>();
+  const alike = new Map<string, number>();
+  const kind = (s: Shortage) => `${s.spot} ${s.need.gpus > 0}`;
+  for (const s of shortages) alike.set(kind(s), (alike.get(kind(s)) ?? 0) + s.count);
   for (const s of shortages) {
     let left = s.count;
     for (const p of pool) {
@@ -61,7 +66,9 @@
       if (optionFits(p.option, s)) left -= take(p.free, s.need, left);
     }
     const open = options.filter((o) => (counts.get(o) ?? 0) < most);
-    const choice = left > 0 ? chooseRental({ ...s, count: left }, open, most) : null;
+    const choice =
+      left > 0 ? chooseRental({ ...s, count: left, alike: alike.get(kind(s))! }, open, most) : null;
+    alike.set(kind(s), alike.get(kind(s))! - s.count);
     if (!choice) continue;
     const before = counts.get(choice.option) ?? 0;
     const count = Math.min(choice.count, most - before);
--- /dev/null
+++ b/tests/size.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Plan, type PlanJob, type PlanMachine } from '../src/plan/plan.js';
+import { chooseRentals, type RentOption } from '../src/plan/rent.js';
+import { Limiter } from '../src/state/limiter.js';
+import { FakeClock } from './support/clock.js';
+import { FakeCluster } from './support/cluster.js';
+
+const MACHINES = 1000;
+
+function fleet(): PlanMachine[] {
+  return Array.from({ length: MACHINES }, (_, i) => ({
+    type: 0,
+    zone: i % 2,
+    spot: false,
+    size: { cpus: 32, gpus: 4, memoryGb: 128 },
+    readyAt: 0,
+    until: Number.POSITIVE_INFINITY,
+    closed: false,
+    fetchGbPerS: 1,
+    images: new Set([i % 5]),
+    slowness: 1,
+    held: [0, 1].map((k) => ({
+      team: 0,
+      end: 20 + ((i * 7 + k * 31) % 90),
+      need: { cpus: 15, gpus: 0, memoryGb: 50 },
+    })),
+  }));
+}
+
+function planJob(id: number, kind: 'array' | 'gang', tasks: number): PlanJob {
+  return {
+    id,
+    team: id % 2,
+    kind,
+    need: kind === 'gang' ? { cpus: 15, gpus: 0, memoryGb: 50 } : { cpus: 6, gpus: 1, memoryGb: 24 },
+    types: null,
+    zone: null,
+    oneZone: kind === 'gang',
+    spread: false,
+    spot: true,
+    image: id % 5,
+    imageGb: 3,
+    runS: 60,
+    deadline: 600,
+    total: tasks,
+    tasks: [...Array(tasks).keys()],
+    present: new Map(),
+  };
+}
+
+// Guards against a plan that costs machines times tasks times bookings: it held a controller's thread for seconds at a
+// thousand machines, so that its lease ran out and users waited.
+test('a plan looks at each machine a few times a job, not once for every task', () => {
+  const caps = [
+    { cpus: 40_000, gpus: 0 },
+    { cpus: 0, gpus: 0 },
+  ];
+  const arrays = new Plan(0, fleet(), caps);
+  for (let i = 0; i < 20; i++) assert.notEqual(arrays.book(planJob(i, 'array', 200)), null);
+  arrays.startEarly();
+  assert.equal(arrays.bookings.length, 4000);
+  assert.ok(arrays.looks < 20 * 2 * MACHINES + 4 * 4000, `${arrays.looks} looks`);
+  const gangs = new Plan(0, fleet(), caps);
+  for (let i = 0; i < 60; i++) assert.notEqual(gangs.book(planJob(i, 'gang', 16)), null);
+  assert.ok(gangs.looks < 60 * 4 * MACHINES, `${gangs.looks} looks`);
+});
+
+test('one round of rentals serves many jobs, each kind in one request', () => {
+  const option = (type: number, gpus: number, price: number): RentOption => ({
+    type,
+    zone: 0,
+    spot: false,
+    size: { cpus: 12 * gpus, gpus, memoryGb: 60 * gpus },
+    price,
+    bootS: 50,
+  });
+  const short = Array.from({ length: 30 }, () => ({
+    types: null,
+    zone: null,
+    spot: false,
+    need: { cpus: 10, gpus: 1, memoryGb: 54 },
+    count: 5,
+  }));
+  const four = option(1, 4, 8);
+  const rentals = chooseRentals(short, [option(0, 2, 7), four], 50);
+  assert.equal(rentals.length, 1);
+  assert.equal(rentals[0]!.option, four);
+  const { count } = rentals[0]!;
+  assert.ok(count >= 38 && count <= 42, `150 tasks at four a machine, ${count} machines`);
+});
+
+// Guards against a leader that deals hundreds of machines at the pace of one node's fixed part of the write rate.
+test('a node uses what the others leave of a rate, and keeps to its part once it is refused', async () => {
+  const clock = new FakeClock();
+  const limiter = new Limiter(clock, 10, 10, 40);
+  let served = 0;
+  const load = async () => {
+    for (;;) {
+      await limiter.take(1, false, 1e9);
+      served++;
+    }
+  };
+  void load();
+  const during = async (ms: number) => {
+    const before = served;
+    await clock.advance(ms);
+    return served - before;
+  };
+  await during(10_000);
+  const grown = await during(5000);
+  assert.ok(grown > 180 && grown <= 205, `${grown} in 5 s`);
+  limiter.refused();
+  const humble = await during(4000);
+  assert.ok(humble <= 42, `${humble} in 4 s`);
+});
+
+test('a thousand machines are dealt, and given back, in transactions and requests of many', async () => {
+  const c = new FakeCluster(['n0']);
+  c.objectives = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.99 }];
+  const requests = new Map<string, number>();
+  c.net.fate = (_f, addr, method, path) => {
+    const key = addr.startsWith('10.2.0.') ? `${method} ${path.split('?')[0]}` : 'worker';
+    requests.set(key, (requests.get(key) ?? 0) + 1);
+    return 'deliver';
+  };
+  for (let i = 0; i < MACHINES; i++) c.addWorker('c8', i % 2 ? 'a' : 'b');
+  c.startNode('n0');
+  const records = () => [...c.state.items.keys()].filter((k) => k.startsWith('c/m/')).length;
+  assert.ok(await c.clock.until(() => records() === MACHINES, 30_000), `${records()} dealt`);
+  const dealing = requests.get('POST /txn') ?? 0;
+  assert.ok(dealing < MACHINES / 10, `${dealing} transactions`);
+  // No aim needs idle machines any more.
+  c.objectives.length = 0;
+  assert.ok(await c.clock.until(() => c.released.length >= MACHINES, 90_000), `${c.released.length} back`);
+  assert.ok(await c.clock.until(() => records() === 0, 10_000));
+  const releases = requests.get('POST /machines/release') ?? 0;
+  assert.ok(releases <= 30, `${releases} releases`);
+  const transactions = (requests.get('POST /txn') ?? 0) - dealing;
+  assert.ok(transactions < MACHINES / 4, `${transactions} transactions`);
+  assert.ok((requests.get('GET /watch') ?? 0) < 1000, 'changes are watched in gathered steps');
+});
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -74,7 +74,7 @@
     const worker = new FakeWorker(
       this.clock,
       `m-${String(n).padStart(6, '0')}`,
-      `10.1.0.${n}:9000`,
+      `10.1.${n >> 8}.${n & 255}:9000`,
       flavor,
       yard,
       LEASE_S,
