--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -268,34 +268,51 @@
     g.needs.map((need) => ({ shard: g.shard, need })),
   );
   needs.sort((a, b) => b.need.priority - a.need.priority || a.need.deadline - b.need.deadline);
-  const spares: { shard: number; spare: Spare }[] = told.flatMap((g) =>
-    g.spares.map((spare) => ({ shard: g.shard, spare })),
-  );
+  const kinds = spareKinds(told);
   const moves: Move[] = [];
-  const taken = new Set<string>();
   for (const { shard, need } of needs) {
     let left = need.count;
-    const fitting = spares
-      .filter(
-        (s) =>
-          !taken.has(s.spare.id) && spareFits(s.spare, need) && fitCount(sizeOf(s.spare.type), need, 1) > 0,
-      )
-      // Its own first: it is already where the tasks are. Machines with GPUs last for tasks that need none.
-      .sort(
-        (a, b) =>
-          Number(b.shard === shard) - Number(a.shard === shard) ||
-          waste(a.spare, need, sizeOf) - waste(b.spare, need, sizeOf),
-      );
-    for (const s of fitting) {
-      if (left <= 0) break;
-      taken.add(s.spare.id);
-      left -= fitCount(sizeOf(s.spare.type), need, left);
-      if (s.shard !== shard) moves.push({ machine: s.spare.id, from: s.shard, to: shard });
+    const fitting = kinds
+      .filter((k) => spareFits(k.like, need) && fitCount(sizeOf(k.like.type), need, 1) > 0)
+      // Machines with GPUs last for tasks that need none.
+      .sort((a, b) => waste(a.like, need, sizeOf) - waste(b.like, need, sizeOf));
+    // Its own first: they are already where the tasks are.
+    for (const own of [true, false]) {
+      for (const k of fitting) {
+        const per = fitCount(sizeOf(k.like.type), need, need.count);
+        for (const [from, ids] of k.byShard) {
+          if ((from === shard) !== own) continue;
+          while (left > 0 && ids.length > 0) {
+            const machine = ids.shift()!;
+            left -= per;
+            if (!own) moves.push({ machine, from, to: shard });
+          }
+        }
+      }
     }
   }
   return moves;
 }
 
+/** Empty machines by type, zone and whether they are spot ones: there are far fewer kinds than machines. */
+function spareKinds(told: readonly Gossip[]): { like: Spare; byShard: Map<number, string[]> }[] {
+  const kinds = new Map<string, { like: Spare; byShard: Map<number, string[]> }>();
+  for (const g of told) {
+    for (const s of g.spares) {
+      const key = `${s.type} ${s.zone} ${s.spot}`;
+      let kind = kinds.get(key);
+      if (!kind) {
+        kind = { like: s, byShard: new Map() };
+        kinds.set(key, kind);
+      }
+      const ids = kind.byShard.get(g.shard);
+      if (ids) ids.push(s.id);
+      else kind.byShard.set(g.shard, [s.id]);
+    }
+  }
+  return [...kinds.values()];
+}
+
 /** A machine with nothing but lesser work, for the most urgent tasks that would wait long in their own shard. */
 export function chooseClearing(
   told: readonly Gossip[],
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -50,7 +50,7 @@
 const TICK_MS = 1000;
 const STIR_MS = 30;
 /** Planning takes no more than one part in so many of this node's time, however much there is to plan. */
-const PLAN_SHARE = 4;
+const PLAN_SHARE = 6;
 const PLAN_PAUSE_MOST_MS = 2000;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
