--- a/src/shards/gossip.ts
+++ b/src/shards/gossip.ts
@@ -12,6 +12,8 @@
 const gossip = v.object({
   shard: v.number(),
   node: v.string(),
+  /** Where the owner is. */
+  zone: v.string(),
   spares: v.array(spare),
   /** Machines that hold nothing above a priority. */
   soft: v.array(v.object({ ...spare.entries, top: v.number() })),
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -44,6 +44,8 @@
     private readonly world: World,
     private readonly term: number,
     private readonly mirror: Mirror,
+    /** Zone of the node that a shard is at home on. */
+    private readonly zoneOf: (shard: number) => string,
     private readonly valid: () => boolean,
     private readonly giveAway: (shard: number, machine: string, to: number) => Promise<boolean>,
     private readonly vacate: (
@@ -207,15 +209,18 @@
     }
   }
 
-  /** The shard with the fewest machines of this type for what its teams are guaranteed; it counts as given there. */
+  /** The shard that a machine goes to; it counts as given there. */
   private poorest(s: Stray, counts: Map<string, number[]>): number {
     const weights = this.weights();
-    const have = (i: number) =>
-      (counts.get(s.type)?.[i] ?? 0) + 0.001 * (counts.get(`${s.type} ${s.zone}`)?.[i] ?? 0) + 0.5;
-    let best = 0;
-    for (let i = 1; i < this.shards; i++) {
-      if (have(i) / weights[i]! < have(best) / weights[best]!) best = i;
-    }
+    const shards = weights.map((weight, i) => ({
+      weight,
+      have: counts.get(s.type)?.[i] ?? 0,
+      haveInZone: counts.get(`${s.type} ${s.zone}`)?.[i] ?? 0,
+      near: this.zoneOf(i) === s.zone,
+    }));
+    let unassigned = 0;
+    for (const other of this.strays.values()) if (other.stray.type === s.type) unassigned++;
+    const best = shardFor(shards, unassigned);
     this.count(counts, best, s.type, s.zone);
     return best;
   }
@@ -269,13 +274,18 @@
   );
   needs.sort((a, b) => b.need.priority - a.need.priority || a.need.deadline - b.need.deadline);
   const kinds = spareKinds(told);
+  const zones = new Map(told.map((g) => [g.shard, g.zone]));
   const moves: Move[] = [];
   for (const { shard, need } of needs) {
     let left = need.count;
     const fitting = kinds
       .filter((k) => spareFits(k.like, need) && fitCount(sizeOf(k.like.type), need, 1) > 0)
       // Machines with GPUs last for tasks that need none.
-      .sort((a, b) => waste(a.like, need, sizeOf) - waste(b.like, need, sizeOf));
+      .sort(
+        (a, b) =>
+          waste(a.like, need, sizeOf) - waste(b.like, need, sizeOf) ||
+          Number(b.like.zone === zones.get(shard)) - Number(a.like.zone === zones.get(shard)),
+      );
     // Its own first: they are already where the tasks are.
     for (const own of [true, false]) {
       for (const k of fitting) {
@@ -348,6 +358,35 @@
   );
 }
 
+/** A shard as it is weighed for a machine of some type in some zone. */
+export interface Taker {
+  /** What its teams are guaranteed. */
+  weight: number;
+  /** Its machines of this type, and those of them in the machine's zone. */
+  have: number;
+  haveInZone: number;
+  /** At home in the machine's zone. */
+  near: boolean;
+}
+
+/**
+ * The shard with the fewest machines of a type for what its teams are guaranteed. Shards at home in the machine's zone
+ * come first up to their fair part: between zones that cannot reach each other a machine loses all its tasks, since no
+ * node that it reaches may answer it.
+ */
+export function shardFor(shards: readonly Taker[], unassigned: number): number {
+  const all = shards.reduce((sum, s) => sum + s.have, unassigned);
+  const weights = shards.reduce((sum, s) => sum + s.weight, 0);
+  const first = (s: Taker) => s.near && s.have < (all * s.weight) / weights;
+  const need = (s: Taker) => (s.have + 0.001 * s.haveInZone + 0.5) / s.weight;
+  let best = 0;
+  shards.forEach((s, i) => {
+    const b = shards[best]!;
+    if (first(s) !== first(b) ? first(s) : need(s) < need(b)) best = i;
+  });
+  return best;
+}
+
 /** Spreads teams over the shards by their guarantees, the largest first. */
 export function partTeams(
   teams: readonly { name: string; cpus: number; gpus: number }[],
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -33,6 +33,7 @@
   readonly members: Members;
   private readonly shards = new Map<number, Shard>();
   private readonly order: string[];
+  private readonly zones: Map<string, string>;
   private readonly ownerGoneSince = new Map<string, number>();
   private readonly homeSince = new Map<number, number>();
   private readonly claiming = new Set<string>();
@@ -43,6 +44,7 @@
   constructor(private readonly world: World) {
     const s = world.settings;
     this.order = [s.node, ...s.peers.map((p) => p.node)].sort();
+    this.zones = new Map([s, ...s.peers].map((n) => [n.node, n.zone]));
     this.members = new Members(
       world.clock,
       world.store,
@@ -222,6 +224,7 @@
       this.world,
       term,
       this.members.mirror,
+      (shard) => this.zones.get(this.home(shard)) ?? '',
       () => this.members.valid,
       (shard, machine, to) => this.giveAway(shard, machine, to),
       (shard, machine, to, priority) => this.vacate(shard, machine, to, priority),
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -1205,7 +1205,11 @@
   private options(now: number): RentOption[] {
     const out: RentOption[] = [];
     for (const [type, t] of this.world.catalog.all()) {
-      for (const z of t.zones) {
+      // Among equals its own zone comes first: a cut between zones does not part the shard from it.
+      const zones = [...t.zones].sort(
+        (a, b) => Number(b === this.world.settings.zone) - Number(a === this.world.settings.zone),
+      );
+      for (const z of zones) {
         const zone = this.world.names.zones.index(z);
         for (const spot of [true, false]) {
           if (spot && t.spotPrice <= 0) continue;
@@ -1573,7 +1577,14 @@
         top,
       });
     }
-    return { shard: this.index, node, spares, soft: soft.slice(0, 30), needs: this.needs.slice(0, 20) };
+    return {
+      shard: this.index,
+      node,
+      zone: this.world.settings.zone,
+      spares,
+      soft: soft.slice(0, 30),
+      needs: this.needs.slice(0, 20),
+    };
   }
 }
 
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -3,7 +3,7 @@
 import { Plan, type PlanJob, type PlanMachine } from '../src/plan/plan.js';
 import { chooseVictims } from '../src/plan/preempt.js';
 import { chooseRental } from '../src/plan/rent.js';
-import { matchSpares, partTeams } from '../src/shards/leader.js';
+import { matchSpares, partTeams, shardFor } from '../src/shards/leader.js';
 
 const size = { cpus: 8, gpus: 0, memoryGb: 32 };
 
@@ -169,6 +169,7 @@
   const told = (shard: number, spares: string[], priorities: number[]) => ({
     shard,
     node: 'n',
+    zone: 'a',
     soft: [],
     spares: spares.map(spare),
     needs: priorities.map(need),
@@ -177,6 +178,29 @@
   assert.deepEqual(moves, [{ machine: 'm-1', from: 0, to: 2 }]);
 });
 
+// Guards against a shard whose machines lie in a zone that its owner cannot reach: in a cut between zones they all lost
+// their leases, and half of the work began anew.
+test('machines go to shards at home in their zone, up to each shard’s fair part', () => {
+  const zones = ['a', 'b', 'a'];
+  const weights = [3, 5, 2];
+  const have = [0, 0, 0].map(() => ({ a: 0, b: 0 }));
+  const machines = [...Array<'a'>(40).fill('a'), ...Array<'b'>(60).fill('b')];
+  machines.forEach((zone, n) => {
+    const takers = weights.map((weight, i) => ({
+      weight,
+      have: have[i]!.a + have[i]!.b,
+      haveInZone: have[i]![zone],
+      near: zones[i] === zone,
+    }));
+    have[shardFor(takers, machines.length - n)]![zone]++;
+  });
+  assert.deepEqual(
+    have.map((h) => h.a + h.b),
+    [30, 50, 20],
+  );
+  assert.deepEqual([have[1]!.a, have[1]!.b], [0, 50], 'none of the other zone');
+});
+
 test('teams are spread by their guarantees, and known ones stay', () => {
   const teams = ['a', 'b', 'c', 'd'].map((name, i) => ({ name, cpus: 10 * (4 - i), gpus: 0 }));
   const parted = partTeams(teams, {}, 3);
