--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -56,6 +56,12 @@
   end: number;
 }
 
+/** Where an earlier plan had a task. */
+export interface KeptPlace {
+  machine: number;
+  start: number;
+}
+
 /** Beyond so many tasks of one job, the rest is estimated instead of booked. */
 export const BOOKED_TASKS = 256;
 /** A machine with so many bookings takes no more for the time being. */
@@ -88,6 +94,9 @@
   /** Of the job being booked: when a task could start on each machine, and how long it would take there. */
   private readonly starts: Float64Array;
   private readonly spans: Float64Array;
+  private readonly all: number[];
+  /** Machines with room at this moment, by what a task takes. What is booked later only takes some of it away. */
+  private readonly roomy = new Map<string, number[]>();
 
   constructor(
     private readonly now: number,
@@ -114,6 +123,7 @@
     });
     this.starts = new Float64Array(machines.length);
     this.spans = new Float64Array(machines.length);
+    this.all = machines.map((_, m) => m);
   }
 
   /** Counts what may be held somewhere unseen against every team's limit. */
@@ -140,6 +150,78 @@
     return best ? this.bookArray(job, best.zone) : null;
   }
 
+  /**
+   * Books a job again where an earlier plan had it, so that booked work keeps its place at little cost. Returns the tasks
+   * that this leaves unbooked: for a gang all of them, when it no longer fits there as a whole or could start now.
+   */
+  keep(job: PlanJob, places: ReadonlyMap<number, KeptPlace>): number[] {
+    return job.kind === 'gang' ? this.keepGang(job, places) : this.keepTasks(job, places);
+  }
+
+  private keepTasks(job: PlanJob, places: ReadonlyMap<number, KeptPlace>): number[] {
+    if (job.oneZone || job.spread) return job.tasks;
+    const team = this.teams.get(job.team);
+    const left: number[] = [];
+    for (const task of job.tasks) {
+      const p = places.get(task);
+      if (!p || p.start <= this.now || !this.allowed(job, p.machine, job.zone)) {
+        left.push(task);
+        continue;
+      }
+      const span = this.spanOn(job, p.machine);
+      this.looks++;
+      const fits =
+        this.profiles[p.machine]!.room(p.start, span, job.need, 1) > 0 &&
+        (!team || team.room(p.start, span, job.need, 1) > 0);
+      if (fits) this.put(this.push({ job, task, machine: p.machine, start: p.start, end: p.start + span }));
+      else left.push(task);
+    }
+    return left;
+  }
+
+  private keepGang(job: PlanJob, places: ReadonlyMap<number, KeptPlace>): number[] {
+    if (this.gangNow(job)) return [];
+    const counts = new Map<number, number>();
+    let start = Number.NaN;
+    let span = 0;
+    for (const task of job.tasks) {
+      const p = places.get(task);
+      if (!p || p.start <= this.now || !this.allowed(job, p.machine, job.zone)) return job.tasks;
+      start = p.start;
+      counts.set(p.machine, (counts.get(p.machine) ?? 0) + 1);
+      span = Math.max(span, this.spanOn(job, p.machine));
+    }
+    for (const [m, count] of counts) {
+      this.looks++;
+      if (this.profiles[m]!.room(start, span, job.need, count) < count) return job.tasks;
+    }
+    const n = job.tasks.length;
+    const team = this.teams.get(job.team);
+    if (team && team.room(start, span, job.need, n) < n) return job.tasks;
+    for (const task of job.tasks) {
+      this.put(this.push({ job, task, machine: places.get(task)!.machine, start, end: start + span }));
+    }
+    return [];
+  }
+
+  /** Books a gang from now on if it fits beside all that is booked. */
+  private gangNow(job: PlanJob): boolean {
+    const { cpus, gpus, memoryGb } = job.need;
+    const key = `${cpus} ${gpus} ${memoryGb}`;
+    let roomy = this.roomy.get(key);
+    if (!roomy) {
+      roomy = [];
+      for (let m = 0; m < this.machines.length; m++) {
+        this.looks++;
+        if (this.profiles[m]!.room(this.now, 1, job.need, 1) > 0) roomy.push(m);
+      }
+      this.roomy.set(key, roomy);
+    }
+    if (roomy.length === 0) return false;
+    const zones = job.oneZone ? this.zones(job) : [job.zone];
+    return zones.some((zone) => this.gangAt(job, this.now, zone, roomy) !== null);
+  }
+
   /** The earliest finish of a job that the plan allows; books nothing. */
   earliestFinish(job: PlanJob): number | null {
     const mark = this.bookings.length;
@@ -397,12 +479,17 @@
     return moments.sort((a, b) => a.at - b.at || (a.zone ?? 0) - (b.zone ?? 0));
   }
 
-  private gangAt(job: PlanJob, t: number, zone: number | null): number | null {
+  private gangAt(
+    job: PlanJob,
+    t: number,
+    zone: number | null,
+    among: readonly number[] = this.all,
+  ): number | null {
     const n = job.tasks.length;
     const half = Math.ceil(n / 2);
     const rooms: { m: number; count: number; fetch: number }[] = [];
     let sum = 0;
-    for (let m = 0; m < this.machines.length; m++) {
+    for (const m of among) {
       if (!this.allowed(job, m, zone)) continue;
       this.looks++;
       const count = this.profiles[m]!.room(t, this.spanOn(job, m), job.need, n);
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -3,7 +3,7 @@
 import type { Log } from '../config/log.js';
 import { type Job, type JobEntry, jobStatus, makeJob, openCount, openTasks } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
-import { type HeldBooking, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
+import { type HeldBooking, type KeptPlace, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
 import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import { chooseRentals, type RentOption, type Shortage } from '../plan/rent.js';
@@ -52,6 +52,10 @@
 /** Planning takes no more than one part in so many of this node's time, however much there is to plan. */
 const PLAN_SHARE = 6;
 const PLAN_PAUSE_MOST_MS = 2000;
+/** So many jobs are booked anew in every plan, all of them at these intervals, or longer when that takes long. */
+const BOOKED_ANEW = 8;
+const BOOK_ANEW_MS = 1500;
+const BOOK_ANEW_SHARE = 20;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
 const ENDED_KEPT = 5000;
@@ -109,6 +113,8 @@
   private ticking = false;
   /** Before this moment there is no other plan. */
   private planNotBefore = 0;
+  private bookAnewAt = 0;
+  private lastPlan: { plan: Plan; refs: (Machine | null)[] } | null = null;
   private readonly admissions = new Map<number, { plan: Plan; at: number }>();
   private shortSince = new Map<string, number>();
   private needs: Gossip['needs'] = [];
@@ -844,7 +850,8 @@
   private admissionPlan(priority: number, now: number): Plan {
     const known = this.admissions.get(priority);
     if (known && now - known.at < ADMIT_FRESH_MS) return known.plan;
-    const { machines } = this.planMachines(now);
+    const { machines, refs } = this.planMachines(now);
+    const places = this.keptPlaces(refs);
     for (const o of this.options(now)) {
       for (let i = 0; i < 2; i++) machines.push(this.virtual(o, (now + o.bootS * 1100) / 1000));
     }
@@ -852,7 +859,7 @@
     for (const other of this.inOrder()) {
       if (other.spec.priority < priority) break;
       const p = other.notBefore > now ? null : this.planJob(other, now);
-      if (p) plan.book(p);
+      if (p) this.book(plan, p, places.get(p.id));
     }
     // A plan that took long to make serves longer.
     const at = this.world.clock.now();
@@ -927,14 +934,21 @@
     const plan = this.newPlan(now, machines);
     const unplaced: { job: Job; plan: PlanJob }[] = [];
     const byOrder = new Map<number, Job>();
+    // Now and then all is booked anew, so that work moves up into room that has come free; between, only the next jobs.
+    const anew = now >= this.bookAnewAt;
+    const places = anew ? null : this.keptPlaces(refs);
     for (const job of this.inOrder()) {
       if (job.notBefore > now) continue;
       const p = this.planJob(job, now);
       if (!p) continue;
       byOrder.set(p.id, job);
-      if (plan.book(p) === null) unplaced.push({ job, plan: p });
+      const kept = byOrder.size > BOOKED_ANEW ? places?.get(p.id) : undefined;
+      if (!this.book(plan, p, kept)) unplaced.push({ job, plan: p });
     }
     plan.startEarly();
+    const after = this.world.clock.now();
+    if (anew) this.bookAnewAt = after + Math.max(BOOK_ANEW_MS, (after - now) * BOOK_ANEW_SHARE);
+    this.lastPlan = { plan, refs };
     this.booked.clear();
     for (const b of plan.bookings) {
       const m = refs[b.machine];
@@ -945,6 +959,33 @@
     this.shortages(plan, unplaced, byOrder, now);
   }
 
+  /** Where the last plan had each task, by job, on machines that are still there. */
+  private keptPlaces(refs: (Machine | null)[]): Map<number, Map<number, KeptPlace>> {
+    const places = new Map<number, Map<number, KeptPlace>>();
+    const index = new Map<Machine, number>();
+    refs.forEach((m, i) => {
+      if (m) index.set(m, i);
+    });
+    for (const b of this.lastPlan?.plan.bookings ?? []) {
+      const m = this.lastPlan!.refs[b.machine];
+      const machine = m ? index.get(m) : undefined;
+      if (machine === undefined) continue;
+      let tasks = places.get(b.job.id);
+      if (!tasks) {
+        tasks = new Map();
+        places.set(b.job.id, tasks);
+      }
+      tasks.set(b.task, { machine, start: b.start });
+    }
+    return places;
+  }
+
+  /** Books a job where it was, as far as it still fits there, and the rest of it anew. False when it finds no place. */
+  private book(plan: Plan, job: PlanJob, kept: ReadonlyMap<number, KeptPlace> | undefined): boolean {
+    const tasks = kept ? plan.keep(job, kept) : job.tasks;
+    return tasks.length === 0 || plan.book(tasks === job.tasks ? job : { ...job, tasks }) !== null;
+  }
+
   /**
    * Work of higher priority that would have to wait stops lesser work: where its machines are full, and where its
    * team's limit is used up by the team's own lesser work.
