--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -3,6 +3,9 @@
 import type { Endpoint, Peer } from '../config/settings.js';
 import { encodeFrame, FrameReader, type PeerMessage } from './frames.js';
 
+/** The other node answered that it cannot do it. */
+export class Answered extends Error {}
+
 export type PeerHandler = (op: string, args: unknown, from: string) => Promise<unknown> | unknown;
 
 export interface Mesh {
@@ -107,7 +110,7 @@
     if (!p) return;
     this.pending.delete(m.r);
     p.timer.cancel();
-    if (m.e !== undefined) p.reject(new Error(m.e));
+    if (m.e !== undefined) p.reject(new Answered(m.e));
     else p.resolve(m.a);
   }
 }
--- a/src/shards/keys.ts
+++ b/src/shards/keys.ts
@@ -9,6 +9,8 @@
   owner: (shard: number) => `c/own/${shard}`,
   machines: 'c/m/',
   machine: (id: string) => `c/m/${id}`,
+  /** Questions to owners that cannot be reached directly, and their answers. */
+  mail: 'c/mail/',
   teams: 'c/teams',
   types: 'c/types',
   job: (id: string) => `job/${id}`,
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -1,13 +1,14 @@
 import { pause } from '../clock/clock.js';
 import type { JobEntry } from '../jobs/job.js';
 import { readJobEntry, readSpec } from '../jobs/records.js';
-import type { Mesh } from '../peer/mesh.js';
+import { Answered, type Mesh } from '../peer/mesh.js';
 import type { Entry } from '../wire/state.js';
 import type { JobSpec } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
 import { readGossip } from './gossip.js';
 import { KEYS, readMachineRecord, readTeams } from './keys.js';
 import { Leader, type Stray } from './leader.js';
+import { Mailbox } from './mailbox.js';
 import { Members } from './members.js';
 import { Shard, type StatusAnswer, type SubmitAnswer, Unavailable } from './shard.js';
 import type { World } from './world.js';
@@ -22,6 +23,10 @@
 const LIST_MS = 5000;
 const TYPES_MS = 30_000;
 const ASK_MS = 3500;
+/** When a question can also go by way of the state service, less is spent on the direct way. */
+const ASK_FIRST_MS = 1800;
+const MAIL_MS = 1000;
+const MAILED = new Set(['submit', 'cancel']);
 /** How long a shard stays its dead home node's to take again. */
 const ADOPT_AFTER_MS = 1500;
 const HAND_BACK_AFTER_MS = 6000;
@@ -31,6 +36,7 @@
 /** One controller: the shards it owns, the leadership when it has it, and the way to everybody else's. */
 export class ControllerNode {
   readonly members: Members;
+  private readonly mailbox: Mailbox;
   private readonly shards = new Map<number, Shard>();
   private readonly order: string[];
   private readonly zones: Map<string, string>;
@@ -54,12 +60,17 @@
       (key, entry) => this.changed(key, entry),
       () => this.dropAll(),
     );
+    this.mailbox = new Mailbox(world, this.members.mirror, (shard, op, args) => {
+      const here = this.shards.get(shard);
+      return here?.ready && MAILED.has(op) ? this.serve(op, { ...args, shard }) : null;
+    });
   }
 
   async start(mesh: Mesh): Promise<void> {
     this.mesh = mesh;
     void this.keepTypes();
     void this.keepList();
+    void this.mailbox.sweep();
     this.gossipLoop();
     await this.members.start();
     this.claimLoop();
@@ -72,6 +83,7 @@
   // --- ownership
 
   private changed(key: string, entry: Entry | null): void {
+    if (entry && key.startsWith(KEYS.mail)) this.mailbox.changed(key, entry);
     if (key.startsWith(KEYS.machines)) {
       const id = key.slice(KEYS.machines.length);
       for (const shard of this.shards.values()) shard.machineRecord(id, entry);
@@ -360,8 +372,19 @@
     const owner = this.members.owner(shard);
     if (!owner || owner.node === this.world.settings.node || !this.mesh)
       throw new Unavailable('no owner at present');
+    const mailed = MAILED.has(op);
     try {
-      return (await this.mesh.ask(owner.node, op, { shard, ...args }, ASK_MS)) as T;
+      return (await this.mesh.ask(owner.node, op, { shard, ...args }, mailed ? ASK_FIRST_MS : ASK_MS)) as T;
+    } catch (error) {
+      // An owner that answers is not to be asked again: it knows best that it cannot serve now.
+      if (mailed && !(error instanceof Answered)) return await this.askByMail<T>(shard, op, args);
+      throw new Unavailable(error instanceof Error ? error.message : 'owner does not answer');
+    }
+  }
+
+  private async askByMail<T>(shard: number, op: string, args: object): Promise<T> {
+    try {
+      return (await this.mailbox.ask(shard, op, { ...args }, MAIL_MS)) as T;
     } catch (error) {
       throw new Unavailable(error instanceof Error ? error.message : 'owner does not answer');
     }
