--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -1,21 +1,19 @@
 import { Mutex } from 'async-mutex';
-import { CloudFailure } from '../cloud/cloud.js';
 import type { Log } from '../config/log.js';
 import { type Job, type JobEntry, jobStatus, makeJob, openCount, openTasks } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
 import { type HeldBooking, type KeptPlace, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
 import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
-import { chooseRentals, type RentOption, type Shortage } from '../plan/rent.js';
-import { StateFailure } from '../state/store.js';
-import { RELEASE_LIMIT, RENT_LIMIT } from '../wire/cloud.js';
-import type { Condition, Entry } from '../wire/state.js';
+import type { RentOption, Shortage } from '../plan/rent.js';
+import type { Entry } from '../wire/state.js';
 import { type JobSpec, type JobStatus, PRIORITY } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
 import { Fleet, type StartOrder } from '../workers/fleet.js';
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import type { Gossip } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
+import { kindKey, Supply } from './supply.js';
 import type { World } from './world.js';
 
 /** This node cannot answer now; the same request may be sent again. */
@@ -39,12 +37,6 @@
   need: Amounts;
 }
 
-interface PendingRental {
-  option: RentOption;
-  count: number;
-  at: number;
-}
-
 /** A job without a deadline gets one at so many times the finish that the plans allow. */
 const DEFAULT_SLACK = 1.5;
 const TICK_MS = 1000;
@@ -61,44 +53,21 @@
 const ENDED_KEPT = 5000;
 /** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
 const RENT_AFTER_MS = 900;
-/** An idle machine is kept for long where nearly all tasks must start sooner than it boots, for some time where many. */
-const KEEP_LONG_MS = 180_000;
-const KEEP_SOME_MS = 30_000;
-const NEARLY_ALL = 0.95;
-const KEEP_SHORT_MS = 15_000;
-/** A deleted machine costs at least so much time, so giving it back earlier saves nothing. */
-const MIN_CHARGE_MS = 55_000;
-/** A kind of machine that is not to be had is asked for again after this, and after twice as long each time. */
-const NO_CAPACITY_MS = 15_000;
-const NO_CAPACITY_MOST_MS = 30_000;
-/** All shards asking for all kinds that are not to be had take no more than this of the cloud's rate. */
-const PROBING_SHARE = 0.2;
-/** While the cloud fails, one rental at a time is tried, at growing intervals. */
-const CLOUD_PAUSE_MS = 1000;
-const CLOUD_PAUSE_MOST_MS = 2500;
-/**
- * A machine that is not up after so many boot times mostly never comes. It is given back, so that the place it takes in
- * a small fleet can be rented anew.
- */
-const OVERDUE_BOOTS = 2.5;
-const SILENT_RETURN_MS = 120_000;
 const ATTEMPTS_PER_TERM = 2 ** 20;
 /** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
 const PREEMPT_WAIT_S = 2;
 const PREEMPT_PAUSE_MS = 12_000;
 /** A machine promised to another shard is cleared by then, or kept. */
 const PROMISE_MS = 15_000;
-/** Records of machines that go into one transaction, so that it stays well below the largest request. */
-const TXN_MACHINES = 24;
 /** So many empty machines of a kind are told at once: no more can be moved before they are told again. */
 const SPARES_TOLD = 24;
-const MAX_PENDING_RENTALS = 6;
 /** So many waiting jobs are looked at in one plan when room is made for urgent work. */
 const PREEMPT_JOBS = 6;
 
 /** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
 export class Shard {
   readonly fleet: Fleet;
+  private readonly supply: Supply;
   readonly jobs = new Map<string, Job>();
   private readonly ended = new Map<string, Ended>();
   private readonly records: JobRecords;
@@ -119,11 +88,7 @@
   private shortSince = new Map<string, number>();
   private needs: Gossip['needs'] = [];
   private booked = new Set<string>();
-  private readonly blocked = new Map<string, { until: number; pause: number }>();
-  private cloudPause = { until: 0, pause: 0 };
-  private readonly rentals = new Set<PendingRental>();
   private readonly ratios = new Map<string, { log: number; count: number }>();
-  private readonly moving = new Set<string>();
   private readonly preemptedAt = new Map<string, number>();
   private readonly promised = new Map<string, { to: number; until: number }>();
 
@@ -139,12 +104,20 @@
     this.records = new JobRecords(world.store, index, term, world.settings.stateLimits);
     this.fleet = new Fleet(world.clock, world.http, world.settings.workers.leaseS, this.log, {
       entitled: () => this.entitled,
-      renewRecord: (m) => this.renewRecord(m),
+      renewRecord: (m) => this.supply.writeRecord(m),
       found: (h) => this.found(h),
       changed: (h) => this.changed(h),
       gone: (h) => this.gone(h),
       stir: () => this.stir(),
     });
+    this.supply = new Supply(world, index, term, this.fleet, this.log, {
+      stopped: () => this.stopped,
+      spare: (m) => this.isSpare(m),
+      recorded: (id, entry) => this.machineRecord(id, entry),
+      lostOwnership: () => this.lostOwnership(),
+      uniqueName: (kind) => this.uniqueName(kind),
+      stir: () => this.stir(),
+    });
   }
 
   get entitled(): boolean {
@@ -155,10 +128,6 @@
     return this.loaded && this.entitled;
   }
 
-  private get owned(): Condition {
-    return { key: KEYS.owner(this.index), version: this.term };
-  }
-
   stop(): void {
     this.stopped = true;
     this.fleet.stop();
@@ -272,47 +241,6 @@
     this.stir();
   }
 
-  private record(m: Machine, change: Partial<MachineRecord> = {}): MachineRecord {
-    const now = this.world.clock.now();
-    return {
-      shard: this.index,
-      addr: m.addr,
-      type: this.world.names.types.name(m.type),
-      zone: this.world.names.zones.name(m.zone),
-      spot: m.spot,
-      state: m.leaving ? 'leaving' : 'use',
-      rentedAt: Math.round(this.world.clock.wall() - (now - m.rentedAt)),
-      ...change,
-    };
-  }
-
-  /** Writes a machine's record; returns its new version. */
-  private async writeRecord(m: Machine, change: Partial<MachineRecord> = {}): Promise<number> {
-    const key = KEYS.machine(m.id);
-    const value = this.record(m, change);
-    try {
-      const result = await this.world.store.txn(
-        [this.owned, { key, version: m.version }],
-        [{ put: key, value }],
-      );
-      if (result.ok) return result.revision;
-      if (result.failed.includes(this.owned.key)) throw this.lostOwnership();
-    } catch (error) {
-      if (!(error instanceof StateFailure) || !error.maybe) throw error;
-    }
-    // Another copy of this write, thought lost, may have been made: the record tells.
-    const stored = await this.world.store.get(key);
-    const r = stored && readMachineRecord(stored.value);
-    if (stored && r && stored.version > m.version && JSON.stringify(r) === JSON.stringify(value))
-      return stored.version;
-    if (stored && r?.shard === this.index) m.version = stored.version;
-    throw new StateFailure(`record of ${m.id} is not decided`, true);
-  }
-
-  private async renewRecord(m: Machine): Promise<number> {
-    return this.writeRecord(m);
-  }
-
   private lostOwnership(): Error {
     this.stop();
     this.onLost();
@@ -322,11 +250,11 @@
   /** Gives an empty machine to another shard. False when it is not to be had. */
   async give(id: string, to: number, promised = false): Promise<boolean> {
     const m = this.fleet.machines.get(id);
-    if (!m || !this.ready || this.moving.has(id)) return false;
+    if (!m || !this.ready || this.supply.moving.has(id)) return false;
     if (promised ? !this.isEmpty(m) : !this.isSpare(m)) return false;
-    this.moving.add(id);
+    this.supply.moving.add(id);
     try {
-      await this.writeRecord(m, { shard: to });
+      await this.supply.writeRecord(m, { shard: to });
       this.fleet.remove(m);
       this.log.info({ machine: id, to }, 'machine given');
       return true;
@@ -334,7 +262,7 @@
       this.log.info({ machine: id, error: String(error) }, 'giving failed');
       return false;
     } finally {
-      this.moving.delete(id);
+      this.supply.moving.delete(id);
     }
   }
 
@@ -672,7 +600,7 @@
     const reportMs = this.world.settings.workers.reportS * 1000;
     for (const m of this.fleet.machines.values()) {
       const type = this.world.catalog.get(m.type);
-      if (m.leaving || m.lost || !type || this.moving.has(m.id) || this.promised.has(m.id)) continue;
+      if (m.leaving || m.lost || !type || this.supply.moving.has(m.id) || this.promised.has(m.id)) continue;
       const held: HeldBooking[] = [];
       let strange = false;
       for (const h of m.held.values()) {
@@ -710,7 +638,7 @@
       });
       refs.push(m);
     }
-    for (const r of this.rentals) {
+    for (const r of this.supply.rentals) {
       for (let i = 0; i < r.count; i++) {
         machines.push(this.virtual(r.option, (r.at + r.option.bootS * 1100) / 1000));
         refs.push(null);
@@ -852,7 +780,7 @@
     if (known && now - known.at < ADMIT_FRESH_MS) return known.plan;
     const { machines, refs } = this.planMachines(now);
     const places = this.keptPlaces(refs);
-    for (const o of this.options(now)) {
+    for (const o of this.supply.options(now)) {
       for (let i = 0; i < 2; i++) machines.push(this.virtual(o, (now + o.bootS * 1100) / 1000));
     }
     const plan = this.newPlan(now, machines);
@@ -873,7 +801,7 @@
       this.drain(now);
       this.fleet.pushStops();
       this.keepPromises(now);
-      this.returnIdle(now);
+      this.supply.returnIdle(now);
       this.stir();
     });
   }
@@ -1081,7 +1009,7 @@
     for (const [id, p] of this.promised) {
       const m = this.fleet.machines.get(id);
       if (!m || now > p.until) this.promised.delete(id);
-      else if (m.held.size === 0 && m.synced && !this.moving.has(id)) {
+      else if (m.held.size === 0 && m.synced && !this.supply.moving.has(id)) {
         void this.give(id, p.to, true).finally(() => this.promised.delete(id));
       }
     }
@@ -1160,7 +1088,7 @@
     for (const p of parts) want.set(p.m, (want.get(p.m) ?? 0) + 1);
     for (const [m, n] of want) {
       if (!m.synced || m.leaving || m.lost || m.unknown || !m.addr || m.noticeUntil !== null) return false;
-      if (this.moving.has(m.id) || this.promised.has(m.id)) return false;
+      if (this.supply.moving.has(m.id) || this.promised.has(m.id)) return false;
       if (m.unreachableAt !== null && now - m.unreachableAt < 6000) return false;
       if (fitCount(this.freeOn(m, free), job.need, n) < n) return false;
       if (job.types && !job.types.has(m.type)) return false;
@@ -1243,26 +1171,6 @@
 
   // --- renting and returning
 
-  private options(now: number): RentOption[] {
-    const out: RentOption[] = [];
-    for (const [type, t] of this.world.catalog.all()) {
-      // Among equals its own zone comes first: a cut between zones does not part the shard from it.
-      const zones = [...t.zones].sort(
-        (a, b) => Number(b === this.world.settings.zone) - Number(a === this.world.settings.zone),
-      );
-      for (const z of zones) {
-        const zone = this.world.names.zones.index(z);
-        for (const spot of [true, false]) {
-          if (spot && t.spotPrice <= 0) continue;
-          if ((this.blocked.get(optionKey(type, zone, spot))?.until ?? 0) > now) continue;
-          const size = { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb };
-          out.push({ type, zone, spot, size, price: spot ? t.spotPrice : t.price, bootS: t.bootS });
-        }
-      }
-    }
-    return out;
-  }
-
   private shortages(
     plan: Plan,
     unplaced: { job: Job; plan: PlanJob }[],
@@ -1317,11 +1225,7 @@
       short.push({ types: job.types, zone: job.zone, spot: job.spec.spot, need: job.need, count: late });
     }
     this.needs = needs;
-    const places = MAX_PENDING_RENTALS - this.rentals.size;
-    if (short.length === 0 || places <= 0 || now < this.cloudPause.until) return;
-    const wanted = chooseRentals(short, this.options(now), RENT_LIMIT).slice(0, places);
-    for (const w of wanted) void this.rent(w.option, w.count);
-    if (wanted.length > 0) this.stir();
+    this.supply.order(short, now);
   }
 
   private need(job: Job, count: number, waitS: number): Gossip['needs'][number] {
@@ -1364,226 +1268,9 @@
     );
   }
 
-  private async rent(option: RentOption, count: number): Promise<void> {
-    const names = this.world.names;
-    const pending: PendingRental = { option, count, at: this.world.clock.now() };
-    const request = {
-      request: this.uniqueName('r'),
-      type: names.types.name(option.type),
-      zone: names.zones.name(option.zone),
-      spot: option.spot,
-      count,
-    };
-    this.rentals.add(pending);
-    const key = optionKey(option.type, option.zone, option.spot);
-    try {
-      while (!this.stopped) {
-        try {
-          const rented = await this.world.cloud.rent(request);
-          this.cloudPause = { until: 0, pause: 0 };
-          this.noteCapacity(key, rented?.length === count);
-          this.log[rented ? 'info' : 'debug']({ ...request, rented }, 'rental');
-          if (rented) await this.enter(rented, request, pending.at);
-          return;
-        } catch (error) {
-          this.log.info({ ...request, error: String(error) }, 'rental failed');
-          const pause = Math.min(CLOUD_PAUSE_MOST_MS, Math.max(CLOUD_PAUSE_MS, this.cloudPause.pause * 2));
-          this.cloudPause = { until: this.world.clock.now() + pause, pause };
-          await this.pause(pause);
-          // After an outage, what was wanted is planned anew; the same request is only repeated while it may have worked.
-          if (!(error instanceof CloudFailure) || !error.maybe) return;
-        }
-      }
-    } finally {
-      this.rentals.delete(pending);
-      this.stir();
-    }
-  }
-
-  private noteCapacity(key: string, plenty: boolean): void {
-    if (plenty) {
-      this.blocked.delete(key);
-      return;
-    }
-    const { rps } = this.world.settings.cloudLimits;
-    const kinds = this.world.catalog.all().reduce((sum, [, t]) => sum + 2 * t.zones.length, 0);
-    const most = (kinds * this.world.settings.nodes * 1000) / Math.max(0.1, rps * PROBING_SHARE);
-    const pause = Math.min(
-      Math.max(NO_CAPACITY_MOST_MS, most),
-      (this.blocked.get(key)?.pause ?? NO_CAPACITY_MS / 2) * 2,
-    );
-    this.blocked.set(key, { until: this.world.clock.now() + pause, pause });
-  }
-
-  /** Records rented machines as this shard's; those that cannot be recorded come back as strays. */
-  private async enter(
-    ids: string[],
-    r: { type: string; zone: string; spot: boolean },
-    at: number,
-  ): Promise<void> {
-    const per = Math.max(1, this.world.settings.stateLimits.txnOps);
-    const rentedAt = Math.round(this.world.clock.wall() - (this.world.clock.now() - at));
-    for (let i = 0; i < ids.length; i += per) {
-      const part = ids.slice(i, i + per);
-      const value = (): MachineRecord => ({
-        shard: this.index,
-        addr: '',
-        type: r.type,
-        zone: r.zone,
-        spot: r.spot,
-        state: 'use',
-        rentedAt,
-      });
-      const result = await this.world.store.txn(
-        [this.owned, ...part.map((id) => ({ key: KEYS.machine(id), version: 0 }))],
-        part.map((id) => ({ put: KEYS.machine(id), value: value() })),
-      );
-      if (!result.ok) continue;
-      for (const id of part) {
-        this.machineRecord(id, { key: KEYS.machine(id), value: value(), version: result.revision });
-      }
-    }
-  }
-
-  private returnIdle(now: number): void {
-    const due: Machine[] = [];
-    for (const m of this.fleet.machines.values()) {
-      if (this.moving.has(m.id)) continue;
-      const type = this.world.catalog.get(m.type);
-      const idle =
-        this.isSpare(m) &&
-        m.idleSince !== null &&
-        now - m.idleSince > this.keepMs(m) &&
-        now - m.rentedAt > MIN_CHARGE_MS;
-      const never =
-        m.heardAt === null &&
-        !m.unknown &&
-        type !== undefined &&
-        now - m.rentedAt > type.bootS * OVERDUE_BOOTS * 1000 + 5000 &&
-        now - this.claimedAt > 10_000;
-      const silent = m.lost && now - this.fleet.leaseEnd(m) > SILENT_RETURN_MS;
-      const sick = m.errors >= 3 && m.held.size === 0 && m.synced;
-      if (m.leaving || idle || never || silent || sick) due.push(m);
-    }
-    if (due.length > 0) void this.giveBack(due.slice(0, RELEASE_LIMIT));
-  }
-
-  /**
-   * Where tasks are expected to start sooner than a machine boots, idle machines are what makes it possible: all of
-   * them where nearly every task must, and for about a boot where many may miss it.
-   */
-  private keepMs(m: Machine): number {
-    const bootS = this.world.catalog.get(m.type)?.bootS ?? 0;
-    const hasty = this.world.settings.objectives.filter(
-      (o) => o.kind !== 'finished' && o.withinS !== null && o.withinS < bootS * 1.5,
-    );
-    if (hasty.length === 0) return KEEP_SHORT_MS;
-    return hasty.some((o) => (o.share ?? 1) >= NEARLY_ALL) ? KEEP_LONG_MS : KEEP_SOME_MS;
-  }
-
-  /** Gives machines back: marked durably first, so that no owner ever uses them again. */
-  private async giveBack(machines: Machine[]): Promise<void> {
-    for (const m of machines) this.moving.add(m.id);
-    try {
-      const marked = await this.markLeaving(machines);
-      if (marked.length === 0) return;
-      await this.world.cloud.release(marked.map((m) => m.id));
-      this.log.info({ machines: marked.map((m) => m.id) }, 'machines returned');
-      await this.forget(marked);
-    } catch (error) {
-      this.log.info({ machines: machines.length, error: String(error) }, 'returning failed');
-      await this.pause(3000);
-    } finally {
-      for (const m of machines) this.moving.delete(m.id);
-    }
-  }
-
-  /** The machines that are durably marked as leaving. */
-  private async markLeaving(machines: Machine[]): Promise<Machine[]> {
-    const marked = machines.filter((m) => m.leaving);
-    for (const part of this.inTxns(machines.filter((m) => !m.leaving))) {
-      const version = await this.markTogether(part);
-      for (const m of part) {
-        try {
-          // What cannot be marked together, since one record has changed or no answer came, is marked one by one.
-          m.version = version ?? (await this.writeRecord(m, { state: 'leaving' }));
-          m.leaving = true;
-          marked.push(m);
-        } catch (error) {
-          if (error instanceof NotOwner) throw error;
-          this.log.info({ machine: m.id, error: String(error) }, 'marking failed');
-        }
-      }
-    }
-    return marked;
-  }
-
-  private async markTogether(machines: Machine[]): Promise<number | null> {
-    try {
-      const result = await this.world.store.txn(
-        [this.owned, ...machines.map((m) => ({ key: KEYS.machine(m.id), version: m.version }))],
-        machines.map((m) => ({ put: KEYS.machine(m.id), value: this.record(m, { state: 'leaving' }) })),
-      );
-      return result.ok ? result.revision : null;
-    } catch {
-      return null;
-    }
-  }
-
-  private inTxns<T>(items: T[]): T[][] {
-    const per = Math.max(1, Math.min(this.world.settings.stateLimits.txnOps, TXN_MACHINES));
-    const parts: T[][] = [];
-    for (let i = 0; i < items.length; i += per) parts.push(items.slice(i, i + per));
-    return parts;
-  }
-
-  /** The machines are surely no more. */
-  private async forget(machines: Machine[]): Promise<void> {
-    for (const m of machines) this.fleet.remove(m);
-    for (const part of this.inTxns(machines)) {
-      let unsure = part;
-      try {
-        const result = await this.world.store.txn(
-          [this.owned, ...part.map((m) => ({ key: KEYS.machine(m.id), version: m.version }))],
-          part.map((m) => ({ delete: KEYS.machine(m.id) })),
-        );
-        if (result.ok) unsure = [];
-      } catch (error) {
-        this.log.debug({ error: String(error) }, 'deleting machine records failed');
-      }
-      for (const m of unsure) {
-        const stored = await this.world.store.get(KEYS.machine(m.id)).catch(() => undefined);
-        if (stored === null) continue;
-        // Its record stays for now: it is given back once more, which does no harm.
-        this.fleet.machines.set(m.id, { ...m, version: stored?.version ?? m.version, leaving: true });
-      }
-    }
-  }
-
-  private absentSince = new Map<string, number>();
-
-  /** Compares the machines with the cloud's list, which is late and may be older than the one before. */
+  /** The cloud's list has been read. */
   listed(): void {
-    const now = this.world.clock.now();
-    const byId = this.world.catalog.listedById;
-    const patience = Math.max(15_000, this.world.settings.cloudLimits.listLagS * 4000);
-    for (const m of this.fleet.machines.values()) {
-      const l = byId.get(m.id);
-      if (l) {
-        this.absentSince.delete(m.id);
-        if (!m.addr && l.addr) m.addr = l.addr;
-        if (l.state === 'failed' && !this.moving.has(m.id)) {
-          this.log.info({ machine: m.id }, 'machine failed');
-          void this.giveBack([m]);
-        }
-        continue;
-      }
-      const since = this.absentSince.get(m.id) ?? now;
-      this.absentSince.set(m.id, since);
-      const quiet = m.heardAt === null ? now - m.rentedAt > 60_000 : m.lost;
-      if (quiet && now - since > patience && !this.moving.has(m.id)) void this.giveBack([m]);
-    }
-    for (const id of this.absentSince.keys()) if (!this.fleet.machines.has(id)) this.absentSince.delete(id);
+    this.supply.listed();
   }
 
   gossip(node: string): Gossip {
@@ -1591,8 +1278,9 @@
     const spares = [];
     const kinds = new Map<string, number>();
     for (const m of this.fleet.machines.values()) {
-      if (!this.isSpare(m) || this.moving.has(m.id) || m.closedUntil > this.world.clock.now()) continue;
-      const kind = optionKey(m.type, m.zone, m.spot);
+      if (!this.isSpare(m) || this.supply.moving.has(m.id) || m.closedUntil > this.world.clock.now())
+        continue;
+      const kind = kindKey(m.type, m.zone, m.spot);
       kinds.set(kind, (kinds.get(kind) ?? 0) + 1);
       if (kinds.get(kind)! > SPARES_TOLD) continue;
       spares.push({
@@ -1605,7 +1293,7 @@
     }
     const soft = [];
     for (const m of this.fleet.machines.values()) {
-      if (this.promised.has(m.id) || this.moving.has(m.id) || !this.softTo(m, PRIORITY.production + 1))
+      if (this.promised.has(m.id) || this.supply.moving.has(m.id) || !this.softTo(m, PRIORITY.production + 1))
         continue;
       let top = 0;
       for (const h of m.held.values()) top = Math.max(top, this.jobs.get(h.job)?.spec.priority ?? 0);
@@ -1633,10 +1321,6 @@
   return { status, done: status === 'done' ? tasks : 0, running: 0 };
 }
 
-function optionKey(type: number, zone: number, spot: boolean): string {
-  return `${type}/${zone}/${spot}`;
-}
-
 function take(from: Amounts, need: Amounts): void {
   from.cpus -= need.cpus;
   from.gpus -= need.gpus;
