--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -54,6 +54,8 @@
 const HEADER_BYTES = 8192;
 /** Requests are not pipelined; a client that does so anyway is held to a few. */
 const MAX_QUEUED = 8;
+/** So many connections below the limit, idle ones make room for new ones. */
+const SPARE_CONNECTIONS = 2;
 const MAX_UNSENT_BYTES = 256 * 1024;
 
 export class HttpServer {
@@ -71,12 +73,13 @@
     this.sweep();
   }
 
-  listen(host: string, port: number): Promise<void> {
+  /** Resolves with the port. */
+  listen(host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen({ host, port, backlog: 256 }, () => {
         this.server.off('error', reject);
-        resolve();
+        resolve((this.server.address() as net.AddressInfo).port);
       });
     });
   }
@@ -86,7 +89,24 @@
     for (const c of this.connections) c.socket.destroy();
   }
 
+  /**
+   * Near the limit the connection that has been idle longest makes room: one controller may hold all shards for a while,
+   * and neither users nor reports must be kept out by connections that nobody uses.
+   */
+  private makeRoom(): void {
+    if (this.connections.size < this.options.maxConnections - SPARE_CONNECTIONS) return;
+    let oldest: Connection | null = null;
+    for (const c of this.connections) {
+      if (c.busy || c.parser.midway || c.queue.length > 0) continue;
+      if (!oldest || c.since < oldest.since) oldest = c;
+    }
+    if (!oldest) return;
+    this.connections.delete(oldest);
+    oldest.socket.destroy();
+  }
+
   private accept(socket: net.Socket): void {
+    this.makeRoom();
     const connection: Connection = {
       socket,
       parser: new MessageParser('request', { headerBytes: HEADER_BYTES, bodyBytes: this.options.bodyBytes }),
--- a/src/main.ts
+++ b/src/main.ts
@@ -35,7 +35,10 @@
   // Sockets are parted: most for users and workers, the rest for what this node opens itself.
   const sockets = settings.limits.maxSockets;
   const outgoing = Math.max(8, Math.floor(sockets * 0.3));
-  const http = new HttpClient(clock, outgoing);
+  // The services have connections of their own: asking hundreds of machines at once must not keep a lease from renewal.
+  const toServices = Math.max(4, Math.min(48, Math.floor(outgoing / 4)));
+  const services = new HttpClient(clock, toServices);
+  const http = new HttpClient(clock, outgoing - toServices);
   const names = new Names();
   for (const t of settings.teams) names.teams.index(t.name);
   for (const z of settings.zones) names.zones.index(z);
@@ -44,8 +47,11 @@
     settings,
     log,
     http,
-    store: new StateStore(clock, http, settings.state, { ...settings.stateLimits, nodes: settings.nodes }),
-    cloud: new Cloud(clock, http, settings.cloud, settings.cloudLimits.rps, settings.nodes),
+    store: new StateStore(clock, services, settings.state, {
+      ...settings.stateLimits,
+      nodes: settings.nodes,
+    }),
+    cloud: new Cloud(clock, services, settings.cloud, settings.cloudLimits.rps, settings.nodes),
     names,
     catalog: new Catalog(names),
     goneMachines: new Map(),
