--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -456,6 +456,8 @@
   }
 
   private settle(job: Job): void {
+    // A shard that is lost leaves what it could not store to its next owner; to try on would never end.
+    if (this.stopped) return;
     if (job.stored < job.done.count && job.state === 'active') {
       void this.flush(job);
       return;
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -295,6 +295,28 @@
   assert.equal(status((await c.call('n1', 'GET', '/api/jobs/wk-1')).body), 'done');
 });
 
+// Guards against a node that tried for ever to store what a shard it had lost still had to store: it never came back to
+// anything else, kept its connections, and was of no use until it was killed.
+test('a node that loses its shard with completions not yet stored goes on serving', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  c.startNode('n1');
+  assert.ok(await c.submit('n0', job('wk-1', { pieces: 2 })));
+  assert.ok(await started(c, 'wk-1/0'));
+  assert.equal(c.nodes.get('n0')!.node.members.owner(0)?.node, 'n0');
+  c.net.fate = (from, addr) => (from === 'n0' && addr.startsWith('10.2.0.1') ? 'refuse' : 'deliver');
+  w.end('wk-1/0', 'done');
+  assert.ok(await c.clock.until(() => c.nodes.get('n1')!.node.members.owner(0)?.node === 'n1', 20_000));
+  await c.clock.advance(5000);
+  c.net.fate = () => 'deliver';
+  await c.clock.advance(5000);
+  assert.equal((await c.call('n0', 'GET', '/healthz')).status, 200);
+  w.end('wk-1/1', 'done');
+  assert.ok(await c.clock.until(() => w.pieces.length === 0, 10_000), 'the next owner stores them');
+  assert.equal(status((await c.call('n0', 'GET', '/api/jobs/wk-1')).body), 'done');
+});
+
 // Guards against users who reach only nodes cut off from the owner: for half a minute none of their jobs were accepted,
 // although both nodes reached the state service.
 test('behind a cut between controllers jobs are accepted and cancelled by way of the state service', async () => {
