--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -13,6 +13,7 @@
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import type { Gossip } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
+import { CLEAR_WAIT_S } from './leader.js';
 import { kindKey, Supply } from './supply.js';
 import type { World } from './world.js';
 
@@ -56,6 +57,12 @@
 const ATTEMPTS_PER_TERM = 2 ** 20;
 /** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
 const PREEMPT_WAIT_S = 2;
+/**
+ * Where an aim allows a longer wait, so much of it is waited first: before lesser work is stopped, and before machines
+ * with GPUs are taken from those who wait for them.
+ */
+const PATIENCE_SHARE = 0.25;
+const PATIENCE_MOST_S = 20;
 const PREEMPT_PAUSE_MS = 12_000;
 /** A machine promised to another shard is cleared by then, or kept. */
 const PROMISE_MS = 15_000;
@@ -83,6 +90,8 @@
   /** Before this moment there is no other plan. */
   private planNotBefore = 0;
   private bookAnewAt = 0;
+  /** Whether tasks that need GPUs wait for a place. */
+  private gpusWanted = false;
   private lastPlan: { plan: Plan; refs: (Machine | null)[] } | null = null;
   private readonly admissions = new Map<number, { plan: Plan; at: number }>();
   private shortSince = new Map<string, number>();
@@ -600,6 +609,7 @@
     const machines: PlanMachine[] = [];
     const refs: (Machine | null)[] = [];
     const reportMs = this.world.settings.workers.reportS * 1000;
+    this.gpusWanted = [...this.jobs.values()].some((job) => job.need.gpus > 0 && openCount(job) > 0);
     for (const m of this.fleet.machines.values()) {
       const type = this.world.catalog.get(m.type);
       if (m.leaving || m.lost || !type || this.supply.moving.has(m.id) || this.promised.has(m.id)) continue;
@@ -703,6 +713,7 @@
       image: job.image,
       imageGb: job.spec.imageGb,
       runS: this.runS(job.spec),
+      patientUntil: job.need.gpus === 0 && this.gpusWanted ? this.patientUntil(job, now) : 0,
       deadline: (now + (job.deadlineWall - this.world.clock.wall())) / 1000,
       total: job.spec.tasks,
       tasks,
@@ -710,6 +721,18 @@
     };
   }
 
+  /** How long a job may well wait, by the aims for its class, in seconds of the steady clock. */
+  private patientUntil(job: Job, now: number): number {
+    let waitS = PREEMPT_WAIT_S;
+    for (const o of this.world.settings.objectives) {
+      if (o.kind !== 'wait' || o.withinS === null || (o.class !== null && o.class !== job.spec.class))
+        continue;
+      const patience = Math.min(PATIENCE_MOST_S, o.withinS * PATIENCE_SHARE);
+      waitS = waitS === PREEMPT_WAIT_S ? Math.max(waitS, patience) : Math.min(waitS, patience);
+    }
+    return (now - (this.world.clock.wall() - job.acceptedWall)) / 1000 + waitS;
+  }
+
   private newPlan(now: number, machines: PlanMachine[]): Plan {
     const plan = new Plan(
       now / 1000,
@@ -924,7 +947,8 @@
     const waiting = new Set<Job>(unplaced.map((u) => u.job));
     for (const b of plan.bookings) {
       const job = byOrder.get(b.job.id);
-      if (job && b.start > now / 1000 + PREEMPT_WAIT_S) waiting.add(job);
+      if (job && b.start > now / 1000 + PREEMPT_WAIT_S && b.start > this.patientUntil(job, now))
+        waiting.add(job);
     }
     const adopted = this.adopted;
     const urgent = [...waiting]
@@ -1193,7 +1217,9 @@
       const job = byOrder.get(b.job.id);
       if (!job || b.start <= t + 0.5) continue;
       slot(job).soon++;
-      slot(job).waitS = Math.max(slot(job).waitS, b.start - t);
+      // Other shards are asked to clear machines only for work whose patience is at an end.
+      const waitS = b.start > this.patientUntil(job, now) ? b.start - t : Math.min(b.start - t, CLEAR_WAIT_S);
+      slot(job).waitS = Math.max(slot(job).waitS, waitS);
       const boot = this.shortestBoot(job);
       if (b.start > t + boot * 1.1 + 2) slot(job).late++;
     }
