--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -42,11 +42,11 @@
 const DEFAULT_SLACK = 1.5;
 const TICK_MS = 1000;
 const STIR_MS = 30;
-/** Planning takes no more than one part in so many of this node's time, however much there is to plan. */
-const PLAN_SHARE = 6;
+/** Planning takes no more than this of the processor that a controller has, however much there is to plan. */
+const PLAN_SHARE = 0.2;
 const PLAN_PAUSE_MOST_MS = 2000;
 /** So many jobs are booked anew in every plan, all of them at these intervals, or longer when that takes long. */
-const BOOKED_ANEW = 8;
+const BOOKED_ANEW = 4;
 const BOOK_ANEW_MS = 1500;
 const BOOK_ANEW_SHARE = 20;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
@@ -64,6 +64,7 @@
 const PATIENCE_SHARE = 0.25;
 const PATIENCE_MOST_S = 20;
 const PREEMPT_PAUSE_MS = 12_000;
+const PREEMPT_AGAIN_MS = 1500;
 /** A machine promised to another shard is cleared by then, or kept. */
 const PROMISE_MS = 15_000;
 /** So many empty machines of a kind are told at once: no more can be moved before they are told again. */
@@ -816,7 +817,8 @@
     }
     // A plan that took long to make serves longer.
     const at = this.world.clock.now();
-    this.admissions.set(priority, { plan, at: at + (at - now) * (PLAN_SHARE - 1) });
+    const longer = Math.min(PLAN_PAUSE_MOST_MS, (at - now) * this.pauseShare);
+    this.admissions.set(priority, { plan, at: at + longer });
     return plan;
   }
 
@@ -839,7 +841,12 @@
     this.schedule(now);
     this.fleet.pushStops();
     const after = this.world.clock.now();
-    this.planNotBefore = after + Math.min(PLAN_PAUSE_MOST_MS, (after - now) * (PLAN_SHARE - 1));
+    this.planNotBefore = after + Math.min(PLAN_PAUSE_MOST_MS, (after - now) * this.pauseShare);
+  }
+
+  /** How many times as long as a plan took the pause after it is. */
+  private get pauseShare(): number {
+    return 1 / (PLAN_SHARE * Math.min(1, this.world.settings.limits.cores)) - 1;
   }
 
   private guarded(work: () => void): void {
@@ -961,7 +968,11 @@
     const usage = urgent.length > 0 ? this.teamUsage() : new Map<number, Amounts>();
     for (const job of urgent) {
       const victims = this.victimsFor(job, usage, now);
-      if (!victims || victims.length === 0) continue;
+      if (!victims || victims.length === 0) {
+        // Nothing to gain by stopping anything: looked at again a little later.
+        this.preemptedAt.set(job.spec.id, now - PREEMPT_PAUSE_MS + PREEMPT_AGAIN_MS);
+        continue;
+      }
       this.preemptedAt.set(job.spec.id, now);
       this.log.info({ job: job.spec.id, stopped: victims.length }, 'making room');
       for (const h of victims) this.fleet.halt(h, (this.jobs.get(h.job)?.spec.saveS ?? 0) + 1);
@@ -1203,11 +1214,20 @@
     byOrder: Map<number, Job>,
     now: number,
   ): void {
-    const waiting = new Map<Job, { soon: number; late: number; waitS: number }>();
+    const waiting = new Map<
+      Job,
+      { soon: number; late: number; waitS: number; bootS: number; patientUntil: number }
+    >();
     const slot = (job: Job) => {
       let w = waiting.get(job);
       if (!w) {
-        w = { soon: 0, late: 0, waitS: 0 };
+        w = {
+          soon: 0,
+          late: 0,
+          waitS: 0,
+          bootS: this.shortestBoot(job),
+          patientUntil: this.patientUntil(job, now),
+        };
         waiting.set(job, w);
       }
       return w;
@@ -1216,12 +1236,12 @@
     for (const b of plan.bookings) {
       const job = byOrder.get(b.job.id);
       if (!job || b.start <= t + 0.5) continue;
-      slot(job).soon++;
+      const w = slot(job);
+      w.soon++;
       // Other shards are asked to clear machines only for work whose patience is at an end.
-      const waitS = b.start > this.patientUntil(job, now) ? b.start - t : Math.min(b.start - t, CLEAR_WAIT_S);
-      slot(job).waitS = Math.max(slot(job).waitS, waitS);
-      const boot = this.shortestBoot(job);
-      if (b.start > t + boot * 1.1 + 2) slot(job).late++;
+      const waitS = b.start > w.patientUntil ? b.start - t : Math.min(b.start - t, CLEAR_WAIT_S);
+      w.waitS = Math.max(w.waitS, waitS);
+      if (b.start > t + w.bootS * 1.1 + 2) w.late++;
     }
     for (const u of unplaced) {
       const n = Math.max(1, openCount(u.job) - plan.bookings.filter((b) => b.job.id === u.job.order).length);
