--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -101,3 +101,28 @@
   for (const i of job.places.keys()) if (!job.done.has(i)) placed++;
   return job.spec.tasks - job.done.count - placed;
 }
+
+/**
+ * The jobs, given in the order of acceptance, that fit into what their team is guaranteed together with the team's
+ * earlier unfinished ones. While they do, they need not wait for other teams.
+ */
+export function withinGuarantee(
+  jobs: readonly Job[],
+  teams: readonly { cpus: number; gpus: number }[],
+): Set<Job> {
+  const within = new Set<Job>();
+  const used = teams.map(() => ({ cpus: 0, gpus: 0 }));
+  for (const job of jobs) {
+    const team = teams[job.team];
+    const sum = used[job.team];
+    if (!team || !sum) continue;
+    const left = job.spec.tasks - job.done.count;
+    sum.cpus += left * job.need.cpus;
+    sum.gpus += left * job.need.gpus;
+    // A team with a guarantee of GPUs alone counts GPUs alone, for work that needs them.
+    const measured = team.cpus > 0 || (team.gpus > 0 && job.need.gpus > 0);
+    const fits = (team.cpus <= 0 || sum.cpus <= team.cpus) && (team.gpus <= 0 || sum.gpus <= team.gpus);
+    if (measured && fits) within.add(job);
+  }
+  return within;
+}
--- a/src/shards/gossip.ts
+++ b/src/shards/gossip.ts
@@ -27,6 +27,8 @@
       memoryGb: v.number(),
       count: v.number(),
       priority: v.number(),
+      /** Within what its team is guaranteed. */
+      guaranteed: v.boolean(),
       deadline: v.number(),
       waitS: v.number(),
     }),
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -272,7 +272,12 @@
   const needs: { shard: number; need: Need }[] = told.flatMap((g) =>
     g.needs.map((need) => ({ shard: g.shard, need })),
   );
-  needs.sort((a, b) => b.need.priority - a.need.priority || a.need.deadline - b.need.deadline);
+  needs.sort(
+    (a, b) =>
+      b.need.priority - a.need.priority ||
+      Number(b.need.guaranteed) - Number(a.need.guaranteed) ||
+      a.need.deadline - b.need.deadline,
+  );
   const kinds = spareKinds(told);
   const zones = new Map(told.map((g) => [g.shard, g.zone]));
   const moves: Move[] = [];
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -1,6 +1,14 @@
 import { Mutex } from 'async-mutex';
 import type { Log } from '../config/log.js';
-import { type Job, type JobEntry, jobStatus, makeJob, openCount, openTasks } from '../jobs/job.js';
+import {
+  type Job,
+  type JobEntry,
+  jobStatus,
+  makeJob,
+  openCount,
+  openTasks,
+  withinGuarantee,
+} from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
 import { type HeldBooking, type KeptPlace, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
 import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
@@ -93,6 +101,8 @@
   private bookAnewAt = 0;
   /** Whether tasks that need GPUs wait for a place. */
   private gpusWanted = false;
+  /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
+  private guaranteed: ReadonlySet<Job> = new Set();
   private lastPlan: { plan: Plan; refs: (Machine | null)[] } | null = null;
   private readonly admissions = new Map<number, { plan: Plan; at: number }>();
   private shortSince = new Map<string, number>();
@@ -725,7 +735,9 @@
   /** How long a job may well wait, by the aims for its class, in seconds of the steady clock. */
   private patientUntil(job: Job, now: number): number {
     let waitS = PREEMPT_WAIT_S;
-    for (const o of this.world.settings.objectives) {
+    // What a team is guaranteed need not wait for others.
+    const objectives = this.guaranteed.has(job) ? [] : this.world.settings.objectives;
+    for (const o of objectives) {
       if (o.kind !== 'wait' || o.withinS === null || (o.class !== null && o.class !== job.spec.class))
         continue;
       const patience = Math.min(PATIENCE_MOST_S, o.withinS * PATIENCE_SHARE);
@@ -764,8 +776,12 @@
     return true;
   }
 
+  /** By priority; then what its team is guaranteed before what it borrows; then as accepted. */
   private inOrder(): Job[] {
-    return [...this.jobs.values()].sort((a, b) => b.spec.priority - a.spec.priority || a.order - b.order);
+    const jobs = [...this.jobs.values()].sort((a, b) => a.order - b.order);
+    this.guaranteed = withinGuarantee(jobs, this.world.settings.teams);
+    const rank = (job: Job) => (this.guaranteed.has(job) ? 0 : 1);
+    return jobs.sort((a, b) => b.spec.priority - a.spec.priority || rank(a) - rank(b) || a.order - b.order);
   }
 
   /**
@@ -1286,6 +1302,7 @@
       memoryGb: job.need.memoryGb,
       count,
       priority: job.spec.priority,
+      guaranteed: this.guaranteed.has(job),
       deadline: job.deadlineWall,
       waitS,
     };
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { makeJob, withinGuarantee } from '../src/jobs/job.js';
 import { Plan, type PlanJob, type PlanMachine } from '../src/plan/plan.js';
 import { chooseVictims } from '../src/plan/preempt.js';
 import { chooseRental } from '../src/plan/rent.js';
 import { matchSpares, partTeams, shardFor } from '../src/shards/leader.js';
+import type { JobSpec } from '../src/wire/users.js';
 
 const size = { cpus: 8, gpus: 0, memoryGb: 32 };
 
@@ -177,6 +179,7 @@
     memoryGb: 1,
     count: 1,
     priority,
+    guaranteed: false,
     deadline: 1,
     waitS: 9,
   });
@@ -215,6 +218,29 @@
   assert.deepEqual([have[1]!.a, have[1]!.b], [0, 50], 'none of the other zone');
 });
 
+test('what a team is guaranteed counts its unfinished tasks in the order of acceptance', () => {
+  const at = (team: number, tasks: number, gpus: number) => {
+    const spec = { tasks, cpus: 10, gpus, memoryGb: 1 } as JobSpec;
+    const record = { accepted: 0, deadline: 0, order: 0, fresh: true, version: 1 };
+    return makeJob(spec, record, { team, types: null, zone: null, image: 0 });
+  };
+  const [first, second, third, plain, other] = [
+    at(0, 30, 1),
+    at(0, 30, 1),
+    at(0, 5, 1),
+    at(0, 1, 0),
+    at(1, 3, 0),
+  ];
+  const teams = [
+    { cpus: 0, gpus: 50 },
+    { cpus: 40, gpus: 0 },
+  ];
+  const within = () => withinGuarantee([first, second, third, plain, other], teams);
+  assert.deepEqual([...within()], [first, other], 'what comes after one that is too large is beyond it too');
+  for (let i = 0; i < 15; i++) first.done.add(i);
+  assert.deepEqual([...within()], [first, second, third, other]);
+});
+
 test('teams are spread by their guarantees, and known ones stay', () => {
   const teams = ['a', 'b', 'c', 'd'].map((name, i) => ({ name, cpus: 10 * (4 - i), gpus: 0 }));
   const parted = partTeams(teams, {}, 3);
