--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -49,6 +49,7 @@
 /** A job without a deadline gets one at so many times the finish that the plans allow. */
 const DEFAULT_SLACK = 1.5;
 const TICK_MS = 1000;
+const TELL_MS = 15_000;
 const STIR_MS = 30;
 /** Planning takes no more than this of the processor that a controller has, however much there is to plan. */
 const PLAN_SHARE = 0.2;
@@ -98,6 +99,7 @@
   private ticking = false;
   /** Before this moment there is no other plan. */
   private planNotBefore = 0;
+  private toldAt = Number.NEGATIVE_INFINITY;
   private bookAnewAt = 0;
   /** Whether tasks that need GPUs wait for a place. */
   private gpusWanted = false;
@@ -547,7 +549,10 @@
       trial.version = accepted.version;
       trial.deadlineWall = deadline;
       this.jobs.set(spec.id, trial);
-      this.log.info({ job: spec.id, tasks: spec.tasks, deadlineInS: finish }, 'job accepted');
+      this.log.info(
+        { job: spec.id, team: spec.team, tasks: spec.tasks, deadlineInS: Math.round(finish) },
+        'job accepted',
+      );
       this.stir();
       return { kind: 'accepted' };
     });
@@ -845,10 +850,33 @@
       this.fleet.pushStops();
       this.keepPromises(now);
       this.supply.returnIdle(now);
+      this.tell(now);
       this.stir();
     });
   }
 
+  /** How the shard stands, for its operators: what each team runs and has waiting, and what its machines do. */
+  private tell(now: number): void {
+    if (now - this.toldAt < TELL_MS) return;
+    this.toldAt = now;
+    const teams: Record<string, { jobs: number; placed: number; open: number }> = {};
+    for (const job of this.jobs.values()) {
+      teams[job.spec.team] ??= { jobs: 0, placed: 0, open: 0 };
+      const team = teams[job.spec.team]!;
+      team.jobs++;
+      team.placed += job.places.size;
+      team.open += openCount(job);
+    }
+    const machines = { all: 0, booting: 0, empty: 0, unsure: 0 };
+    for (const m of this.fleet.machines.values()) {
+      machines.all++;
+      if (m.heardAt === null) machines.booting++;
+      else if (!m.synced || m.lost || m.unknown) machines.unsure++;
+      else if (m.held.size === 0) machines.empty++;
+    }
+    this.log.info({ teams, machines }, 'load');
+  }
+
   /**
    * A controller has a fraction of a core, and its lease must be renewed and users answered beside the planning: after
    * each plan there is a pause in proportion to what it took.
