--- /dev/null
+++ b/src/shards/preemption.ts
@@ -0,0 +1,143 @@
+import type { Log } from '../config/log.js';
+import { type Job, openCount } from '../jobs/job.js';
+import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
+import type { Amounts } from '../plan/profile.js';
+import { PRIORITY } from '../wire/users.js';
+import type { Fleet } from '../workers/fleet.js';
+import type { Held, Machine } from '../workers/machine.js';
+import type { World } from './world.js';
+
+/** Room is not made twice for a job within the pause, and not looked for again at once when there is none to be made. */
+const PREEMPT_PAUSE_MS = 12_000;
+const PREEMPT_AGAIN_MS = 1500;
+/** A machine promised to another shard is cleared by then, or kept. */
+const PROMISE_MS = 15_000;
+/** So many waiting jobs are looked at in one plan when room is made for urgent work. */
+const PREEMPT_JOBS = 6;
+
+export interface PreemptionHooks {
+  ready(): boolean;
+  /** Whether all that an earlier owner may have started is known. */
+  adopted(): boolean;
+  teamUsage(): Map<number, Amounts>;
+  free(m: Machine): Amounts;
+  moving(id: string): boolean;
+  /** Gives a machine that was cleared to the shard that it was promised to. */
+  give(id: string, to: number): Promise<boolean>;
+  stir(): void;
+}
+
+/** Stops lesser work for more urgent work, in a shard and for other shards. */
+export class Preemption {
+  /** Machines that are being cleared for other shards. */
+  readonly promised = new Map<string, { to: number; until: number }>();
+  private readonly preemptedAt = new Map<string, number>();
+
+  constructor(
+    private readonly world: World,
+    private readonly fleet: Fleet,
+    private readonly jobs: ReadonlyMap<string, Job>,
+    private readonly log: Log,
+    private readonly hooks: PreemptionHooks,
+  ) {}
+
+  /**
+   * Work of higher priority that would have to wait stops lesser work: where its machines are full, and where its
+   * team's limit is used up by the team's own lesser work.
+   */
+  makeRoom(waiting: ReadonlySet<Job>, now: number): void {
+    const adopted = this.hooks.adopted();
+    const urgent = [...waiting]
+      .filter((job) => job.spec.priority > PRIORITY.normal && (job.fresh || adopted))
+      .filter(
+        (job) => now - (this.preemptedAt.get(job.spec.id) ?? Number.NEGATIVE_INFINITY) >= PREEMPT_PAUSE_MS,
+      )
+      .sort((a, b) => b.spec.priority - a.spec.priority || a.order - b.order)
+      .slice(0, PREEMPT_JOBS);
+    const usage = urgent.length > 0 ? this.hooks.teamUsage() : new Map<number, Amounts>();
+    for (const job of urgent) {
+      const victims = this.victimsFor(job, usage, now);
+      if (!victims || victims.length === 0) {
+        // Nothing to gain by stopping anything: looked at again a little later.
+        this.preemptedAt.set(job.spec.id, now - PREEMPT_PAUSE_MS + PREEMPT_AGAIN_MS);
+        continue;
+      }
+      this.preemptedAt.set(job.spec.id, now);
+      this.log.info({ job: job.spec.id, stopped: victims.length }, 'making room');
+      for (const h of victims) this.fleet.halt(h, (this.jobs.get(h.job)?.spec.saveS ?? 0) + 1);
+    }
+    for (const id of this.preemptedAt.keys()) if (!this.jobs.has(id)) this.preemptedAt.delete(id);
+  }
+
+  private victimsFor(job: Job, usage: Map<number, Amounts>, now: number): Held[] | null {
+    const wanted = job.spec.kind === 'gang' ? job.spec.tasks : Math.min(openCount(job), 64);
+    if (wanted <= 0 || (job.spec.kind === 'gang' && job.places.size > 0)) return null;
+    const team = this.world.settings.teams[job.team];
+    const use = usage.get(job.team);
+    const teamLeft: Amounts = { cpus: 1e12, gpus: 1e12, memoryGb: 1e12 };
+    if (team && use) {
+      if (team.cpusMax > 0) teamLeft.cpus = team.cpusMax - use.cpus;
+      if (team.gpusMax > 0) teamLeft.gpus = team.gpusMax - use.gpus;
+    }
+    const byZone = new Map<number, PreemptMachine<Held>[]>();
+    for (const m of this.fleet.machines.values()) {
+      if (!m.synced || m.lost || m.leaving || m.noticeUntil !== null || this.promised.has(m.id)) continue;
+      if ((job.types && !job.types.has(m.type)) || (m.spot && !job.spec.spot)) continue;
+      if (job.zone !== null && job.zone !== m.zone) continue;
+      const victims = [];
+      for (const h of m.held.values()) {
+        const other = this.jobs.get(h.job);
+        if (!other || h.state === 'exited' || h.stop || other.spec.priority >= job.spec.priority) continue;
+        if (other.spec.kind === 'gang') continue;
+        const ran = h.runningAt === null ? 0 : (now - h.runningAt) / 1000;
+        const loss = other.spec.checkpointS > 0 ? 2 + other.spec.saveS + ran / 100 : ran;
+        victims.push({ ref: h, need: other.need, sameTeam: other.team === job.team, loss });
+      }
+      const zone = job.spec.oneZone ? m.zone : 0;
+      const list = byZone.get(zone) ?? [];
+      list.push({ free: this.hooks.free(m), victims });
+      byZone.set(zone, list);
+    }
+    let best: Held[] | null = null;
+    for (const machines of byZone.values()) {
+      const victims = chooseVictims({ need: job.need, count: wanted, teamLeft }, machines);
+      if (victims && (!best || victims.length < best.length)) best = victims;
+    }
+    return best;
+  }
+
+  /** Clears a machine for another shard's more urgent work. False when that is not to be. */
+  vacate(id: string, to: number, priority: number): boolean {
+    const m = this.fleet.machines.get(id);
+    if (!m || !this.hooks.ready() || this.promised.has(id) || !this.softTo(m, priority)) return false;
+    const now = this.world.clock.now();
+    this.promised.set(id, { to, until: now + PROMISE_MS });
+    this.log.info({ machine: id, to, held: m.held.size }, 'clearing a machine for another shard');
+    for (const h of m.held.values()) this.fleet.halt(h, (this.jobs.get(h.job)?.spec.saveS ?? 0) + 1);
+    this.fleet.pushStops();
+    this.hooks.stir();
+    return true;
+  }
+
+  /** Whether all that a machine holds may be stopped for work of a priority. */
+  softTo(m: Machine, priority: number): boolean {
+    if (!m.synced || m.leaving || m.lost || m.unknown || m.noticeUntil !== null || m.held.size === 0)
+      return false;
+    for (const h of m.held.values()) {
+      const job = this.jobs.get(h.job);
+      if (!job || h.stop || job.spec.priority >= priority || job.spec.kind === 'gang') return false;
+    }
+    return true;
+  }
+
+  /** Hands over the machines that were cleared for other shards. */
+  keepPromises(now: number): void {
+    for (const [id, p] of this.promised) {
+      const m = this.fleet.machines.get(id);
+      if (!m || now > p.until) this.promised.delete(id);
+      else if (m.held.size === 0 && m.synced && !this.hooks.moving(id)) {
+        void this.hooks.give(id, p.to).finally(() => this.promised.delete(id));
+      }
+    }
+  }
+}
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -11,7 +11,6 @@
 } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
 import { type HeldBooking, type KeptPlace, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
-import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import type { RentOption, Shortage } from '../plan/rent.js';
 import type { Entry } from '../wire/state.js';
@@ -22,6 +21,7 @@
 import type { Gossip } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
 import { CLEAR_WAIT_S } from './leader.js';
+import { Preemption } from './preemption.js';
 import { kindKey, Supply } from './supply.js';
 import type { World } from './world.js';
 
@@ -72,19 +72,14 @@
  */
 const PATIENCE_SHARE = 0.25;
 const PATIENCE_MOST_S = 20;
-const PREEMPT_PAUSE_MS = 12_000;
-const PREEMPT_AGAIN_MS = 1500;
-/** A machine promised to another shard is cleared by then, or kept. */
-const PROMISE_MS = 15_000;
 /** So many empty machines of a kind are told at once: no more can be moved before they are told again. */
 const SPARES_TOLD = 24;
-/** So many waiting jobs are looked at in one plan when room is made for urgent work. */
-const PREEMPT_JOBS = 6;
 
 /** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
 export class Shard {
   readonly fleet: Fleet;
   private readonly supply: Supply;
+  private readonly preemption: Preemption;
   readonly jobs = new Map<string, Job>();
   private readonly ended = new Map<string, Ended>();
   private readonly records: JobRecords;
@@ -111,8 +106,6 @@
   private needs: Gossip['needs'] = [];
   private booked = new Set<string>();
   private readonly ratios = new Map<string, { log: number; count: number }>();
-  private readonly preemptedAt = new Map<string, number>();
-  private readonly promised = new Map<string, { to: number; until: number }>();
 
   constructor(
     private readonly world: World,
@@ -132,6 +125,15 @@
       gone: (h) => this.gone(h),
       stir: () => this.stir(),
     });
+    this.preemption = new Preemption(world, this.fleet, this.jobs, this.log, {
+      ready: () => this.ready,
+      adopted: () => this.adopted,
+      teamUsage: () => this.teamUsage(),
+      free: (m) => this.freeOn(m, new Map()),
+      moving: (id) => this.supply.moving.has(id),
+      give: (id, to) => this.give(id, to, true),
+      stir: () => this.stir(),
+    });
     this.supply = new Supply(world, index, term, this.fleet, this.log, {
       stopped: () => this.stopped,
       spare: (m) => this.isSpare(m),
@@ -289,7 +291,7 @@
   }
 
   private isSpare(m: Machine): boolean {
-    return this.isEmpty(m) && !this.booked.has(m.id) && !this.promised.has(m.id);
+    return this.isEmpty(m) && !this.booked.has(m.id) && !this.preemption.promised.has(m.id);
   }
 
   private isEmpty(m: Machine): boolean {
@@ -628,7 +630,8 @@
     this.gpusWanted = [...this.jobs.values()].some((job) => job.need.gpus > 0 && openCount(job) > 0);
     for (const m of this.fleet.machines.values()) {
       const type = this.world.catalog.get(m.type);
-      if (m.leaving || m.lost || !type || this.supply.moving.has(m.id) || this.promised.has(m.id)) continue;
+      if (m.leaving || m.lost || !type || this.supply.moving.has(m.id) || this.preemption.promised.has(m.id))
+        continue;
       const held: HeldBooking[] = [];
       let strange = false;
       for (const h of m.held.values()) {
@@ -848,7 +851,7 @@
       const now = this.world.clock.now();
       this.drain(now);
       this.fleet.pushStops();
-      this.keepPromises(now);
+      this.preemption.keepPromises(now);
       this.supply.returnIdle(now);
       this.tell(now);
       this.stir();
@@ -959,7 +962,13 @@
       if (m) this.booked.add(m.id);
     }
     this.dispatch(plan, refs, byOrder, now);
-    this.preempt(plan, unplaced, byOrder, now);
+    const waiting = new Set<Job>(unplaced.map((u) => u.job));
+    for (const b of plan.bookings) {
+      const job = byOrder.get(b.job.id);
+      if (job && b.start > now / 1000 + PREEMPT_WAIT_S && b.start > this.patientUntil(job, now))
+        waiting.add(job);
+    }
+    this.preemption.makeRoom(waiting, now);
     this.shortages(plan, unplaced, byOrder, now);
   }
 
@@ -990,112 +999,6 @@
     return tasks.length === 0 || plan.book(tasks === job.tasks ? job : { ...job, tasks }) !== null;
   }
 
-  /**
-   * Work of higher priority that would have to wait stops lesser work: where its machines are full, and where its
-   * team's limit is used up by the team's own lesser work.
-   */
-  private preempt(plan: Plan, unplaced: { job: Job }[], byOrder: Map<number, Job>, now: number): void {
-    const waiting = new Set<Job>(unplaced.map((u) => u.job));
-    for (const b of plan.bookings) {
-      const job = byOrder.get(b.job.id);
-      if (job && b.start > now / 1000 + PREEMPT_WAIT_S && b.start > this.patientUntil(job, now))
-        waiting.add(job);
-    }
-    const adopted = this.adopted;
-    const urgent = [...waiting]
-      .filter((job) => job.spec.priority > PRIORITY.normal && (job.fresh || adopted))
-      .filter(
-        (job) => now - (this.preemptedAt.get(job.spec.id) ?? Number.NEGATIVE_INFINITY) >= PREEMPT_PAUSE_MS,
-      )
-      .sort((a, b) => b.spec.priority - a.spec.priority || a.order - b.order)
-      .slice(0, PREEMPT_JOBS);
-    const usage = urgent.length > 0 ? this.teamUsage() : new Map<number, Amounts>();
-    for (const job of urgent) {
-      const victims = this.victimsFor(job, usage, now);
-      if (!victims || victims.length === 0) {
-        // Nothing to gain by stopping anything: looked at again a little later.
-        this.preemptedAt.set(job.spec.id, now - PREEMPT_PAUSE_MS + PREEMPT_AGAIN_MS);
-        continue;
-      }
-      this.preemptedAt.set(job.spec.id, now);
-      this.log.info({ job: job.spec.id, stopped: victims.length }, 'making room');
-      for (const h of victims) this.fleet.halt(h, (this.jobs.get(h.job)?.spec.saveS ?? 0) + 1);
-    }
-    for (const id of this.preemptedAt.keys()) if (!this.jobs.has(id)) this.preemptedAt.delete(id);
-  }
-
-  private victimsFor(job: Job, usage: Map<number, Amounts>, now: number): Held[] | null {
-    const wanted = job.spec.kind === 'gang' ? job.spec.tasks : Math.min(openCount(job), 64);
-    if (wanted <= 0 || (job.spec.kind === 'gang' && job.places.size > 0)) return null;
-    const team = this.world.settings.teams[job.team];
-    const use = usage.get(job.team);
-    const teamLeft: Amounts = { cpus: 1e12, gpus: 1e12, memoryGb: 1e12 };
-    if (team && use) {
-      if (team.cpusMax > 0) teamLeft.cpus = team.cpusMax - use.cpus;
-      if (team.gpusMax > 0) teamLeft.gpus = team.gpusMax - use.gpus;
-    }
-    const byZone = new Map<number, PreemptMachine<Held>[]>();
-    for (const m of this.fleet.machines.values()) {
-      if (!m.synced || m.lost || m.leaving || m.noticeUntil !== null || this.promised.has(m.id)) continue;
-      if ((job.types && !job.types.has(m.type)) || (m.spot && !job.spec.spot)) continue;
-      if (job.zone !== null && job.zone !== m.zone) continue;
-      const victims = [];
-      for (const h of m.held.values()) {
-        const other = this.jobs.get(h.job);
-        if (!other || h.state === 'exited' || h.stop || other.spec.priority >= job.spec.priority) continue;
-        if (other.spec.kind === 'gang') continue;
-        const ran = h.runningAt === null ? 0 : (now - h.runningAt) / 1000;
-        const loss = other.spec.checkpointS > 0 ? 2 + other.spec.saveS + ran / 100 : ran;
-        victims.push({ ref: h, need: other.need, sameTeam: other.team === job.team, loss });
-      }
-      const zone = job.spec.oneZone ? m.zone : 0;
-      const list = byZone.get(zone) ?? [];
-      list.push({ free: this.freeOn(m, new Map()), victims });
-      byZone.set(zone, list);
-    }
-    let best: Held[] | null = null;
-    for (const machines of byZone.values()) {
-      const victims = chooseVictims({ need: job.need, count: wanted, teamLeft }, machines);
-      if (victims && (!best || victims.length < best.length)) best = victims;
-    }
-    return best;
-  }
-
-  /** Clears a machine for another shard's more urgent work. False when that is not to be. */
-  vacate(id: string, to: number, priority: number): boolean {
-    const m = this.fleet.machines.get(id);
-    if (!m || !this.ready || this.promised.has(id) || !this.softTo(m, priority)) return false;
-    const now = this.world.clock.now();
-    this.promised.set(id, { to, until: now + PROMISE_MS });
-    this.log.info({ machine: id, to, held: m.held.size }, 'clearing a machine for another shard');
-    for (const h of m.held.values()) this.fleet.halt(h, (this.jobs.get(h.job)?.spec.saveS ?? 0) + 1);
-    this.fleet.pushStops();
-    this.stir();
-    return true;
-  }
-
-  /** Whether all that a machine holds may be stopped for work of a priority. */
-  private softTo(m: Machine, priority: number): boolean {
-    if (!m.synced || m.leaving || m.lost || m.unknown || m.noticeUntil !== null || m.held.size === 0)
-      return false;
-    for (const h of m.held.values()) {
-      const job = this.jobs.get(h.job);
-      if (!job || h.stop || job.spec.priority >= priority || job.spec.kind === 'gang') return false;
-    }
-    return true;
-  }
-
-  /** Hands over the machines that were cleared for other shards. */
-  private keepPromises(now: number): void {
-    for (const [id, p] of this.promised) {
-      const m = this.fleet.machines.get(id);
-      if (!m || now > p.until) this.promised.delete(id);
-      else if (m.held.size === 0 && m.synced && !this.supply.moving.has(id)) {
-        void this.give(id, p.to, true).finally(() => this.promised.delete(id));
-      }
-    }
-  }
-
   /** Starts what the plan has for now, where the machines are truly free and the rules surely hold. */
   private dispatch(plan: Plan, refs: (Machine | null)[], byOrder: Map<number, Job>, now: number): void {
     const perMachine = new Map<Machine, StartOrder[]>();
@@ -1169,7 +1072,7 @@
     for (const p of parts) want.set(p.m, (want.get(p.m) ?? 0) + 1);
     for (const [m, n] of want) {
       if (!m.synced || m.leaving || m.lost || m.unknown || !m.addr || m.noticeUntil !== null) return false;
-      if (this.supply.moving.has(m.id) || this.promised.has(m.id)) return false;
+      if (this.supply.moving.has(m.id) || this.preemption.promised.has(m.id)) return false;
       if (m.unreachableAt !== null && now - m.unreachableAt < 6000) return false;
       if (fitCount(this.freeOn(m, free), job.need, n) < n) return false;
       if (job.types && !job.types.has(m.type)) return false;
@@ -1361,6 +1264,11 @@
     );
   }
 
+  /** Clears a machine for another shard's more urgent work. False when that is not to be. */
+  vacate(id: string, to: number, priority: number): boolean {
+    return this.preemption.vacate(id, to, priority);
+  }
+
   /** The cloud's list has been read. */
   listed(): void {
     this.supply.listed();
@@ -1386,7 +1294,11 @@
     }
     const soft = [];
     for (const m of this.fleet.machines.values()) {
-      if (this.promised.has(m.id) || this.supply.moving.has(m.id) || !this.softTo(m, PRIORITY.production + 1))
+      if (
+        this.preemption.promised.has(m.id) ||
+        this.supply.moving.has(m.id) ||
+        !this.preemption.softTo(m, PRIORITY.production + 1)
+      )
         continue;
       let top = 0;
       for (const h of m.held.values()) top = Math.max(top, this.jobs.get(h.job)?.spec.priority ?? 0);
