--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -103,26 +103,31 @@
 }
 
 /**
- * The jobs, given in the order of acceptance, that fit into what their team is guaranteed together with the team's
- * earlier unfinished ones. While they do, they need not wait for other teams.
+ * Of jobs in the order of acceptance, those that fit into what their team is guaranteed together with the team's earlier
+ * unfinished ones (`whole`), and those of which a part does (`partly`, the former included). While they do, they need
+ * not wait for other teams.
  */
 export function withinGuarantee(
   jobs: readonly Job[],
   teams: readonly { cpus: number; gpus: number }[],
-): Set<Job> {
-  const within = new Set<Job>();
+): { whole: Set<Job>; partly: Set<Job> } {
+  const whole = new Set<Job>();
+  const partly = new Set<Job>();
   const used = teams.map(() => ({ cpus: 0, gpus: 0 }));
   for (const job of jobs) {
     const team = teams[job.team];
     const sum = used[job.team];
     if (!team || !sum) continue;
-    const left = job.spec.tasks - job.done.count;
-    sum.cpus += left * job.need.cpus;
-    sum.gpus += left * job.need.gpus;
     // A team with a guarantee of GPUs alone counts GPUs alone, for work that needs them.
     const measured = team.cpus > 0 || (team.gpus > 0 && job.need.gpus > 0);
-    const fits = (team.cpus <= 0 || sum.cpus <= team.cpus) && (team.gpus <= 0 || sum.gpus <= team.gpus);
-    if (measured && fits) within.add(job);
+    const fits = () => (team.cpus <= 0 || sum.cpus <= team.cpus) && (team.gpus <= 0 || sum.gpus <= team.gpus);
+    sum.cpus += job.need.cpus;
+    sum.gpus += job.need.gpus;
+    if (measured && fits()) partly.add(job);
+    const more = job.spec.tasks - job.done.count - 1;
+    sum.cpus += more * job.need.cpus;
+    sum.gpus += more * job.need.gpus;
+    if (measured && fits()) whole.add(job);
   }
-  return within;
+  return { whole, partly };
 }
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -784,11 +784,15 @@
     return true;
   }
 
-  /** By priority; then what its team is guaranteed before what it borrows; then as accepted. */
+  /**
+   * By priority; then what teams are guaranteed before what they borrow, so that one cannot starve another; then as
+   * accepted.
+   */
   private inOrder(): Job[] {
     const jobs = [...this.jobs.values()].sort((a, b) => a.order - b.order);
-    this.guaranteed = withinGuarantee(jobs, this.world.settings.teams);
-    const rank = (job: Job) => (this.guaranteed.has(job) ? 0 : 1);
+    const { whole, partly } = withinGuarantee(jobs, this.world.settings.teams);
+    this.guaranteed = whole;
+    const rank = (job: Job) => (partly.has(job) ? 0 : 1);
     return jobs.sort((a, b) => b.spec.priority - a.spec.priority || rank(a) - rank(b) || a.order - b.order);
   }
 
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -236,9 +236,14 @@
     { cpus: 40, gpus: 0 },
   ];
   const within = () => withinGuarantee([first, second, third, plain, other], teams);
-  assert.deepEqual([...within()], [first, other], 'what comes after one that is too large is beyond it too');
+  assert.deepEqual(
+    [...within().whole],
+    [first, other],
+    'what comes after one that is too large is beyond it',
+  );
+  assert.deepEqual([...within().partly], [first, second, other], 'but a part of that one is not');
   for (let i = 0; i < 15; i++) first.done.add(i);
-  assert.deepEqual([...within()], [first, second, third, other]);
+  assert.deepEqual([...within().whole], [first, second, third, other]);
 });
 
 test('teams are spread by their guarantees, and known ones stay', () => {
