--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -662,6 +662,7 @@
           m.noticeUntil !== null ||
           m.closedUntil > now ||
           (booting && age > bootMs * 2.5),
+        suspect: m.errors > 0,
         fetchGbPerS: type.fetchGbPerS,
         images: new Set(m.images.keys()),
         slowness: 1,
@@ -687,6 +688,7 @@
       readyAt,
       until: Number.POSITIVE_INFINITY,
       closed: false,
+      suspect: false,
       fetchGbPerS: this.world.catalog.get(o.type)?.fetchGbPerS ?? 1,
       images: new Set(),
       slowness: 1,
--- a/tests/size.test.ts
+++ b/tests/size.test.ts
@@ -17,6 +17,7 @@
     readyAt: 0,
     until: Number.POSITIVE_INFINITY,
     closed: false,
+    suspect: false,
     fetchGbPerS: 1,
     images: new Set([i % 5]),
     slowness: 1,
