--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -58,6 +58,7 @@
 const BOOKED_ANEW = 4;
 const BOOK_ANEW_MS = 1500;
 const BOOK_ANEW_SHARE = 20;
+const FEW_FAIL_SHARE = 0.1;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
 const ENDED_KEPT = 5000;
@@ -627,6 +628,10 @@
     const machines: PlanMachine[] = [];
     const refs: (Machine | null)[] = [];
     const reportMs = this.world.settings.workers.reportS * 1000;
+    // Where many machines fail, it is rather the jobs, and gangs must not wait for machines to prove themselves.
+    let failing = 0;
+    for (const m of this.fleet.machines.values()) if (m.errors > 0) failing++;
+    const fewFail = failing < this.fleet.machines.size * FEW_FAIL_SHARE;
     this.gpusWanted = [...this.jobs.values()].some((job) => job.need.gpus > 0 && openCount(job) > 0);
     for (const m of this.fleet.machines.values()) {
       const type = this.world.catalog.get(m.type);
@@ -662,7 +667,7 @@
           m.noticeUntil !== null ||
           m.closedUntil > now ||
           (booting && age > bootMs * 2.5),
-        suspect: m.errors > 0,
+        suspect: m.errors > 0 && fewFail,
         fetchGbPerS: type.fetchGbPerS,
         images: new Set(m.images.keys()),
         slowness: 1,
