--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -16,12 +16,13 @@
 import type { Entry } from '../wire/state.js';
 import { type JobSpec, type JobStatus, PRIORITY } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
-import { Fleet, type StartOrder } from '../workers/fleet.js';
+import { Fleet } from '../workers/fleet.js';
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import type { Gossip } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
 import { CLEAR_WAIT_S } from './leader.js';
 import { Preemption } from './preemption.js';
+import { Starts } from './starts.js';
 import { kindKey, Supply } from './supply.js';
 import type { World } from './world.js';
 
@@ -64,7 +65,6 @@
 const ENDED_KEPT = 5000;
 /** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
 const RENT_AFTER_MS = 900;
-const ATTEMPTS_PER_TERM = 2 ** 20;
 /** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
 const PREEMPT_WAIT_S = 2;
 /**
@@ -81,6 +81,7 @@
   readonly fleet: Fleet;
   private readonly supply: Supply;
   private readonly preemption: Preemption;
+  private readonly starts: Starts;
   readonly jobs = new Map<string, Job>();
   private readonly ended = new Map<string, Ended>();
   private readonly records: JobRecords;
@@ -90,7 +91,6 @@
   private loaded = false;
   private stopped = false;
   private order = 0;
-  private attempts = 0;
   private stirred = false;
   private ticking = false;
   /** Before this moment there is no other plan. */
@@ -126,11 +126,18 @@
       gone: (h) => this.gone(h),
       stir: () => this.stir(),
     });
+    this.starts = new Starts(world, term, this.fleet, this.jobs, this.log, {
+      useOf: (h) => this.useOf(h),
+      unseen: () => this.unseen(),
+      adopted: () => this.adopted,
+      withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
+      lostOwnership: () => this.lostOwnership(),
+    });
     this.preemption = new Preemption(world, this.fleet, this.jobs, this.log, {
       ready: () => this.ready,
       adopted: () => this.adopted,
-      teamUsage: () => this.teamUsage(),
-      free: (m) => this.freeOn(m, new Map()),
+      teamUsage: () => this.starts.teamUsage(),
+      free: (m) => this.starts.freeOn(m, new Map()),
       moving: (id) => this.supply.moving.has(id),
       give: (id, to) => this.give(id, to, true),
       stir: () => this.stir(),
@@ -972,7 +979,7 @@
       const m = refs[b.machine];
       if (m) this.booked.add(m.id);
     }
-    this.dispatch(plan, refs, byOrder, now);
+    this.starts.dispatch(plan, refs, byOrder, now);
     const waiting = new Set<Job>(unplaced.map((u) => u.job));
     for (const b of plan.bookings) {
       const job = byOrder.get(b.job.id);
@@ -1010,160 +1017,6 @@
     return tasks.length === 0 || plan.book(tasks === job.tasks ? job : { ...job, tasks }) !== null;
   }
 
-  /** Starts what the plan has for now, where the machines are truly free and the rules surely hold. */
-  private dispatch(plan: Plan, refs: (Machine | null)[], byOrder: Map<number, Job>, now: number): void {
-    const perMachine = new Map<Machine, StartOrder[]>();
-    const free = new Map<Machine, Amounts>();
-    this.heldZones = null;
-    const usage = this.teamUsage();
-    const adopted = this.adopted;
-    const gangs = new Map<Job, { m: Machine; index: number }[]>();
-    const singles: { job: Job; m: Machine; index: number }[] = [];
-    for (const b of plan.bookings) {
-      const m = refs[b.machine];
-      const job = byOrder.get(b.job.id);
-      if (!m || !job || b.start > now / 1000 + 0.01) continue;
-      if (!job.fresh && !adopted) continue;
-      if (job.spec.kind === 'gang') {
-        const list = gangs.get(job) ?? [];
-        list.push({ m, index: b.task });
-        gangs.set(job, list);
-      } else {
-        singles.push({ job, m, index: b.task });
-      }
-    }
-    const start = (job: Job, parts: { m: Machine; index: number }[]) => {
-      if (!this.permitted(job, parts, free, usage, now)) return;
-      const attempt = this.nextAttempt();
-      job.attempt = attempt;
-      for (const p of parts) {
-        take(this.freeOn(p.m, free), job.need);
-        const list = perMachine.get(p.m) ?? [];
-        list.push({ job: job.spec.id, index: p.index, attempt });
-        perMachine.set(p.m, list);
-      }
-      const use = usage.get(job.team);
-      if (use) for (const _ of parts) add(use, job.need);
-      // Placed at once, so that the next check counts it.
-      const placed = this.pending.get(job.spec.id) ?? [];
-      for (const p of parts) placed.push(p.m.zone);
-      this.pending.set(job.spec.id, placed);
-    };
-    for (const [job, parts] of gangs) if (parts.length === job.spec.tasks) start(job, parts);
-    for (const s of singles) start(s.job, [s]);
-    this.pending.clear();
-    for (const [m, starts] of perMachine) {
-      for (const h of this.fleet.start(m, starts)) {
-        this.jobs.get(h.job)?.places.set(h.index, h);
-        this.log.debug({ task: `${h.job}/${h.index}`, attempt: h.attempt, machine: m.id }, 'task started');
-      }
-    }
-  }
-
-  /** Zones of the tasks that this round of starts has placed, by job. */
-  private readonly pending = new Map<string, number[]>();
-  private heldZones: Map<string, Map<number, number>> | null = null;
-
-  private permitted(
-    job: Job,
-    parts: { m: Machine; index: number }[],
-    free: Map<Machine, Amounts>,
-    usage: Map<number, Amounts>,
-    now: number,
-  ): boolean {
-    if (job.state !== 'active' || job.notBefore > now) return false;
-    const team = this.world.settings.teams[job.team];
-    const use = usage.get(job.team);
-    if (team && use) {
-      const n = parts.length;
-      if (team.cpusMax > 0 && use.cpus + n * job.need.cpus > team.cpusMax + 1e-6) return false;
-      if (team.gpusMax > 0 && use.gpus + n * job.need.gpus > team.gpusMax + 1e-6) return false;
-    }
-    const want = new Map<Machine, number>();
-    for (const p of parts) want.set(p.m, (want.get(p.m) ?? 0) + 1);
-    for (const [m, n] of want) {
-      if (!m.synced || m.leaving || m.lost || m.unknown || !m.addr || m.noticeUntil !== null) return false;
-      if (this.supply.moving.has(m.id) || this.preemption.promised.has(m.id)) return false;
-      if (m.unreachableAt !== null && now - m.unreachableAt < 6000) return false;
-      if (fitCount(this.freeOn(m, free), job.need, n) < n) return false;
-      if (job.types && !job.types.has(m.type)) return false;
-      if (m.spot && !job.spec.spot) return false;
-      if (job.zone !== null && m.zone !== job.zone) return false;
-    }
-    return this.zonesPermit(job, parts);
-  }
-
-  private zonesPermit(job: Job, parts: { m: Machine; index: number }[]): boolean {
-    if (!job.spec.oneZone && !job.spec.spread) return true;
-    const zones = new Map(this.zonesHeld().get(job.spec.id));
-    const count = (zone: number) => zones.set(zone, (zones.get(zone) ?? 0) + 1);
-    for (const zone of this.pending.get(job.spec.id) ?? []) count(zone);
-    for (const p of parts) count(p.m.zone);
-    if (job.spec.oneZone && zones.size > 1) return false;
-    const half = Math.ceil(job.spec.tasks / 2);
-    return !job.spec.spread || [...zones.values()].every((n) => n <= half);
-  }
-
-  /** Where tasks of each job are or may be, by zone; worked out once for each round of starts. */
-  private zonesHeld(): Map<string, Map<number, number>> {
-    if (!this.heldZones) {
-      this.heldZones = new Map();
-      for (const m of this.fleet.machines.values()) {
-        for (const h of m.held.values()) {
-          if (h.state === 'exited') continue;
-          const zones = this.heldZones.get(h.job) ?? new Map<number, number>();
-          zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
-          this.heldZones.set(h.job, zones);
-        }
-      }
-    }
-    return this.heldZones;
-  }
-
-  private nextAttempt(): number {
-    // Terms are revisions of the state service, so no two owners ever use the same attempt number.
-    if (this.attempts >= ATTEMPTS_PER_TERM - 1) throw this.lostOwnership();
-    return this.term * ATTEMPTS_PER_TERM + ++this.attempts;
-  }
-
-  private freeOn(m: Machine, memo: Map<Machine, Amounts>): Amounts {
-    let free = memo.get(m);
-    if (!free) {
-      free = { ...this.world.catalog.size(m.type) };
-      for (const h of m.held.values()) {
-        if (h.state === 'exited') continue;
-        const use = this.useOf(h);
-        if (use) take(free, use.need);
-        else free.cpus = -1;
-      }
-      memo.set(m, free);
-    }
-    return free;
-  }
-
-  /** What each team's tasks take now, with all that may be somewhere unseen. */
-  private teamUsage(): Map<number, Amounts> {
-    const usage = new Map<number, Amounts>();
-    const unseen = this.unseen();
-    this.world.settings.teams.forEach((_, team) => {
-      usage.set(team, { ...unseen });
-    });
-    for (const m of this.fleet.machines.values()) {
-      for (const h of m.held.values()) {
-        if (h.state === 'exited') continue;
-        const use = this.useOf(h);
-        if (use) {
-          const sum = usage.get(use.team);
-          if (sum) add(sum, use.need);
-        } else {
-          // Whose it is nobody remembers: it counts for everyone.
-          for (const sum of usage.values()) add(sum, this.world.catalog.size(m.type));
-        }
-      }
-    }
-    return usage;
-  }
-
   // --- renting and returning
 
   private shortages(
@@ -1207,7 +1060,7 @@
       slot(u.job).late += n;
       slot(u.job).waitS = 600;
     }
-    const usage = this.teamUsage();
+    const usage = this.starts.teamUsage();
     const needs: Gossip['needs'] = [];
     const short: Shortage[] = [];
     for (const id of [...this.shortSince.keys()]) {
@@ -1337,18 +1190,6 @@
   return { status, done: status === 'done' ? tasks : 0, running: 0 };
 }
 
-function take(from: Amounts, need: Amounts): void {
-  from.cpus -= need.cpus;
-  from.gpus -= need.gpus;
-  from.memoryGb -= need.memoryGb;
-}
-
-function add(to: Amounts, need: Amounts): void {
-  to.cpus += need.cpus;
-  to.gpus += need.gpus;
-  to.memoryGb += need.memoryGb;
-}
-
 function addTimes(to: Amounts, need: Amounts, times: number): void {
   to.cpus += need.cpus * times;
   to.gpus += need.gpus * times;
