--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -42,8 +42,6 @@
   imageGb: number;
   runS: number;
   deadline: number;
-  /** Until then the job leaves machines with GPUs that it does not need to those who wait for them. */
-  patientUntil: number;
   /** All tasks of the job, for `spread`. */
   total: number;
   /** Unstarted tasks to be booked. */
@@ -261,7 +259,7 @@
     const open: number[] = [];
     for (let m = 0; m < this.machines.length; m++) {
       if (!this.allowed(job, m, job.zone)) continue;
-      if (this.profiles[m]!.size >= MAX_BOOKINGS || this.notBefore(job, m, this.now) > this.now) continue;
+      if (this.profiles[m]!.size >= MAX_BOOKINGS) continue;
       this.looks++;
       if (this.profiles[m]!.room(this.now, this.spanOn(job, m), job.need, 1) > 0) open.push(m);
     }
@@ -349,9 +347,7 @@
     const profile = this.profiles[m]!;
     const full = profile.size >= MAX_BOOKINGS;
     this.looks++;
-    this.starts[m] = full
-      ? NEVER
-      : (profile.earliest(this.notBefore(job, m, from), this.spans[m]!, job.need) ?? NEVER);
+    this.starts[m] = full ? NEVER : (profile.earliest(from, this.spans[m]!, job.need) ?? NEVER);
   }
 
   /** The machine that the next task goes to, by what is known of when it could start on each; -1 when there is none. */
@@ -416,10 +412,6 @@
     return this.fetchS(job, m) + Math.max(0.5, job.runS * this.machines[m]!.slowness);
   }
 
-  private notBefore(job: PlanJob, m: number, t: number): number {
-    return job.patientUntil > t && this.waste(job, m) > 0 ? job.patientUntil : t;
-  }
-
   /** A machine with GPUs is kept for those who need them while others do. */
   private waste(job: PlanJob, m: number): number {
     return job.need.gpus === 0 && this.machines[m]!.size.gpus > 0 ? 1 : 0;
@@ -475,7 +467,7 @@
       const profile = this.profiles[m]!;
       const span = this.spanOn(job, m);
       this.looks++;
-      const at = profile.earliest(this.notBefore(job, m, this.now), span, job.need);
+      const at = profile.earliest(this.now, span, job.need);
       if (at === null) continue;
       const most = fitCount(this.machines[m]!.size, job.need, n);
       const count = profile.room(at, span, job.need, most);
@@ -500,7 +492,7 @@
     const rooms: { m: number; count: number; fetch: number }[] = [];
     let sum = 0;
     for (const m of among) {
-      if (!this.allowed(job, m, zone) || this.notBefore(job, m, t) > t) continue;
+      if (!this.allowed(job, m, zone)) continue;
       this.looks++;
       const count = this.profiles[m]!.room(t, this.spanOn(job, m), job.need, n);
       if (count === 0) continue;
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -23,7 +23,7 @@
 /** Machines dealt in one transaction; together with their conditions they stay well below the largest request. */
 const DEALT_TOGETHER = 24;
 /** Lesser work elsewhere is stopped for urgent tasks only when they would wait longer than this, one machine at a time. */
-export const CLEAR_WAIT_S = 8;
+const CLEAR_WAIT_S = 8;
 const CLEAR_PAUSE_MS = 700;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
 const STRAY_GRACE_MS = 400;
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -20,7 +20,6 @@
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import type { Gossip } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
-import { CLEAR_WAIT_S } from './leader.js';
 import { Preemption } from './preemption.js';
 import { Starts } from './starts.js';
 import { kindKey, Supply } from './supply.js';
@@ -67,12 +66,6 @@
 const RENT_AFTER_MS = 900;
 /** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
 const PREEMPT_WAIT_S = 2;
-/**
- * Where an aim allows a longer wait, so much of it is waited first: before lesser work is stopped, and before machines
- * with GPUs are taken from those who wait for them.
- */
-const PATIENCE_SHARE = 0.25;
-const PATIENCE_MOST_S = 20;
 /** So many empty machines of a kind are told at once: no more can be moved before they are told again. */
 const SPARES_TOLD = 24;
 
@@ -97,8 +90,6 @@
   private planNotBefore = 0;
   private toldAt = Number.NEGATIVE_INFINITY;
   private bookAnewAt = 0;
-  /** Whether tasks that need GPUs wait for a place. */
-  private gpusWanted = false;
   /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
   private guaranteed: ReadonlySet<Job> = new Set();
   private lastPlan: { plan: Plan; refs: (Machine | null)[] } | null = null;
@@ -639,7 +630,6 @@
     let failing = 0;
     for (const m of this.fleet.machines.values()) if (m.errors > 0) failing++;
     const fewFail = failing < this.fleet.machines.size * FEW_FAIL_SHARE;
-    this.gpusWanted = [...this.jobs.values()].some((job) => job.need.gpus > 0 && openCount(job) > 0);
     for (const m of this.fleet.machines.values()) {
       const type = this.world.catalog.get(m.type);
       if (m.leaving || m.lost || !type || this.supply.moving.has(m.id) || this.preemption.promised.has(m.id))
@@ -746,7 +736,6 @@
       image: job.image,
       imageGb: job.spec.imageGb,
       runS: this.runS(job.spec),
-      patientUntil: job.need.gpus === 0 && this.gpusWanted ? this.patientUntil(job, now) : 0,
       deadline: (now + (job.deadlineWall - this.world.clock.wall())) / 1000,
       total: job.spec.tasks,
       tasks,
@@ -754,20 +743,6 @@
     };
   }
 
-  /** How long a job may well wait, by the aims for its class, in seconds of the steady clock. */
-  private patientUntil(job: Job, now: number): number {
-    let waitS = PREEMPT_WAIT_S;
-    // What a team is guaranteed need not wait for others.
-    const objectives = this.guaranteed.has(job) ? [] : this.world.settings.objectives;
-    for (const o of objectives) {
-      if (o.kind !== 'wait' || o.withinS === null || (o.class !== null && o.class !== job.spec.class))
-        continue;
-      const patience = Math.min(PATIENCE_MOST_S, o.withinS * PATIENCE_SHARE);
-      waitS = waitS === PREEMPT_WAIT_S ? Math.max(waitS, patience) : Math.min(waitS, patience);
-    }
-    return (now - (this.world.clock.wall() - job.acceptedWall)) / 1000 + waitS;
-  }
-
   private newPlan(now: number, machines: PlanMachine[]): Plan {
     const plan = new Plan(
       now / 1000,
@@ -983,8 +958,7 @@
     const waiting = new Set<Job>(unplaced.map((u) => u.job));
     for (const b of plan.bookings) {
       const job = byOrder.get(b.job.id);
-      if (job && b.start > now / 1000 + PREEMPT_WAIT_S && b.start > this.patientUntil(job, now))
-        waiting.add(job);
+      if (job && b.start > now / 1000 + PREEMPT_WAIT_S) waiting.add(job);
     }
     this.preemption.makeRoom(waiting, now);
     this.shortages(plan, unplaced, byOrder, now);
@@ -1025,10 +999,7 @@
     byOrder: Map<number, Job>,
     now: number,
   ): void {
-    const waiting = new Map<
-      Job,
-      { soon: number; late: number; waitS: number; bootS: number; patientUntil: number }
-    >();
+    const waiting = new Map<Job, { soon: number; late: number; waitS: number; bootS: number }>();
     const slot = (job: Job) => {
       let w = waiting.get(job);
       if (!w) {
@@ -1037,7 +1008,6 @@
           late: 0,
           waitS: 0,
           bootS: this.shortestBoot(job),
-          patientUntil: this.patientUntil(job, now),
         };
         waiting.set(job, w);
       }
@@ -1049,9 +1019,7 @@
       if (!job || b.start <= t + 0.5) continue;
       const w = slot(job);
       w.soon++;
-      // Other shards are asked to clear machines only for work whose patience is at an end.
-      const waitS = b.start > w.patientUntil ? b.start - t : Math.min(b.start - t, CLEAR_WAIT_S);
-      w.waitS = Math.max(w.waitS, waitS);
+      w.waitS = Math.max(w.waitS, b.start - t);
       if (b.start > t + w.bootS * 1.1 + 2) w.late++;
     }
     for (const u of unplaced) {
