--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -12,8 +12,6 @@
   until: number;
   /** No new work starts here for now, but what it holds is booked. */
   closed: boolean;
-  /** It has failed a task and done none since: it is tried with single tasks, since a gang would fail as a whole. */
-  suspect: boolean;
   fetchGbPerS: number;
   images: ReadonlySet<number>;
   /** Run times here are this many times those elsewhere. */
@@ -394,7 +392,7 @@
 
   private allowed(job: PlanJob, m: number, zone: number | null): boolean {
     const machine = this.machines[m]!;
-    if (machine.closed || (machine.suspect && job.kind === 'gang' && job.total > 1)) return false;
+    if (machine.closed) return false;
     if (job.types && !job.types.has(machine.type)) return false;
     if (machine.spot && !job.spot) return false;
     if ((zone !== null && machine.zone !== zone) || (job.zone !== null && machine.zone !== job.zone))
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -52,13 +52,12 @@
 const TELL_MS = 15_000;
 const STIR_MS = 30;
 /** Planning takes no more than this of the processor that a controller has, however much there is to plan. */
-const PLAN_SHARE = 0.2;
+const PLAN_SHARE = 0.15;
 const PLAN_PAUSE_MOST_MS = 2000;
 /** So many jobs are booked anew in every plan, all of them at these intervals, or longer when that takes long. */
 const BOOKED_ANEW = 4;
 const BOOK_ANEW_MS = 1500;
 const BOOK_ANEW_SHARE = 20;
-const FEW_FAIL_SHARE = 0.1;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
 const ENDED_KEPT = 5000;
@@ -626,10 +625,6 @@
     const machines: PlanMachine[] = [];
     const refs: (Machine | null)[] = [];
     const reportMs = this.world.settings.workers.reportS * 1000;
-    // Where many machines fail, it is rather the jobs, and gangs must not wait for machines to prove themselves.
-    let failing = 0;
-    for (const m of this.fleet.machines.values()) if (m.errors > 0) failing++;
-    const fewFail = failing < this.fleet.machines.size * FEW_FAIL_SHARE;
     for (const m of this.fleet.machines.values()) {
       const type = this.world.catalog.get(m.type);
       if (m.leaving || m.lost || !type || this.supply.moving.has(m.id) || this.preemption.promised.has(m.id))
@@ -664,7 +659,6 @@
           m.noticeUntil !== null ||
           m.closedUntil > now ||
           (booting && age > bootMs * 2.5),
-        suspect: m.errors > 0 && fewFail,
         fetchGbPerS: type.fetchGbPerS,
         images: new Set(m.images.keys()),
         slowness: 1,
@@ -690,7 +684,6 @@
       readyAt,
       until: Number.POSITIVE_INFINITY,
       closed: false,
-      suspect: false,
       fetchGbPerS: this.world.catalog.get(o.type)?.fetchGbPerS ?? 1,
       images: new Set(),
       slowness: 1,
