--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -14,8 +14,6 @@
   closed: boolean;
   fetchGbPerS: number;
   images: ReadonlySet<number>;
-  /** Run times here are this many times those elsewhere. */
-  slowness: number;
   held: HeldBooking[];
 }
 
@@ -407,7 +405,7 @@
 
   private spanOn(job: PlanJob, m: number): number {
     if (job.kind === 'service') return FOREVER;
-    return this.fetchS(job, m) + Math.max(0.5, job.runS * this.machines[m]!.slowness);
+    return this.fetchS(job, m) + Math.max(0.5, job.runS);
   }
 
   /** A machine with GPUs is kept for those who need them while others do. */
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -285,7 +285,7 @@
     for (;;) {
       try {
         const listed = await this.world.cloud.list();
-        this.world.catalog.setListed(listed, this.world.clock.now());
+        this.world.catalog.setListed(listed);
         for (const s of this.shards.values()) s.listed();
         this.leader?.listed(this.world.catalog.listed);
       } catch (error) {
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -256,7 +256,6 @@
       unreachableAt: null,
       errors: 0,
       closedUntil: 0,
-      speed: { sum: 0, count: 0 },
     });
     const m = this.fleet.machines.get(id)!;
     if (this.loaded) void this.fleet.contact(m, null);
@@ -661,7 +660,6 @@
           (booting && age > bootMs * 2.5),
         fetchGbPerS: type.fetchGbPerS,
         images: new Set(m.images.keys()),
-        slowness: 1,
         held,
       });
       refs.push(m);
@@ -686,7 +684,6 @@
       closed: false,
       fetchGbPerS: this.world.catalog.get(o.type)?.fetchGbPerS ?? 1,
       images: new Set(),
-      slowness: 1,
       held: [],
     };
   }
--- a/src/shards/world.ts
+++ b/src/shards/world.ts
@@ -37,7 +37,6 @@
   private readonly byIndex = new Map<number, MachineType>();
   listed: ListedMachine[] = [];
   listedById = new Map<string, ListedMachine>();
-  listedAt = 0;
 
   constructor(private readonly names: Names) {}
 
@@ -49,10 +48,9 @@
     for (const t of types) this.byIndex.set(this.names.types.index(t.name), t);
   }
 
-  setListed(machines: ListedMachine[], at: number): void {
+  setListed(machines: ListedMachine[]): void {
     this.listed = machines;
     this.listedById = new Map(machines.map((m) => [m.id, m]));
-    this.listedAt = at;
   }
 
   get(type: number): MachineType | undefined {
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -56,7 +56,6 @@
   unreachableAt: number | null;
   errors: number;
   closedUntil: number;
-  speed: { sum: number; count: number };
 }
 
 export function heldKey(job: string, index: number, attempt: number): string {
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -20,7 +20,6 @@
     closed: false,
     fetchGbPerS: 1,
     images: new Set([0]),
-    slowness: 1,
     held: [],
     ...change,
   };
--- a/tests/size.test.ts
+++ b/tests/size.test.ts
@@ -19,7 +19,6 @@
     closed: false,
     fetchGbPerS: 1,
     images: new Set([i % 5]),
-    slowness: 1,
     held: [0, 1].map((k) => ({
       team: 0,
       end: 20 + ((i * 7 + k * 31) % 90),
