--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -112,6 +112,25 @@
   return { host: addr.slice(0, colon), port: Number(addr.slice(colon + 1)) };
 }
 
+/**
+ * How a process parts its sockets: most are for users and workers, some for the other controllers, the rest for what it
+ * opens itself. State service and cloud have connections of their own: asking hundreds of machines at once must not keep
+ * a lease from renewal.
+ */
+export function partSockets(sockets: number): { incoming: number; services: number; workers: number } {
+  const outgoing = Math.max(8, Math.floor(sockets * 0.3));
+  const services = Math.max(4, Math.min(48, Math.floor(outgoing / 4)));
+  return { incoming: Math.max(16, sockets - outgoing - 80), services, workers: outgoing - services };
+}
+
+/**
+ * How many machines a shard may have: each keeps a connection to the shard's owner, beside those of its users. More of
+ * them than that shut each other out, and lose their leases.
+ */
+export function mostMachines(sockets: number): number {
+  return Math.floor(partSockets(sockets).incoming * 0.75);
+}
+
 export function parseSettings(content: string): Settings {
   let raw: unknown;
   try {
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -24,6 +24,8 @@
   /** A request that has begun must be complete by then. */
   requestMs: number;
   idleMs: number;
+  /** Connections whose last request was for such a path make room for others only when there is no other that is idle. */
+  keepsLonger?: (path: string) => boolean;
   onError: (error: unknown) => void;
 }
 
@@ -49,6 +51,7 @@
   busy: boolean;
   closing: boolean;
   since: number;
+  kept: boolean;
 }
 
 const HEADER_BYTES = 8192;
@@ -91,14 +94,15 @@
 
   /**
    * Near the limit the connection that has been idle longest makes room: one controller may hold all shards for a while,
-   * and neither users nor reports must be kept out by connections that nobody uses.
+   * and neither users nor reports must be kept out by connections that nobody uses. Users' connections go before those
+   * of workers: many questions must not cost machines their leases.
    */
   private makeRoom(): void {
     if (this.connections.size < this.options.maxConnections - SPARE_CONNECTIONS) return;
     let oldest: Connection | null = null;
     for (const c of this.connections) {
       if (c.busy || c.parser.midway || c.queue.length > 0) continue;
-      if (!oldest || c.since < oldest.since) oldest = c;
+      if (!oldest || (c.kept === oldest.kept ? c.since < oldest.since : oldest.kept)) oldest = c;
     }
     if (!oldest) return;
     this.connections.delete(oldest);
@@ -114,6 +118,7 @@
       busy: false,
       closing: false,
       since: this.clock.now(),
+      kept: false,
     };
     this.connections.add(connection);
     socket.on('data', (data) => this.receive(connection, data));
@@ -148,6 +153,7 @@
       let reply: HttpReply;
       try {
         const mark = m.start[1].indexOf('?');
+        c.kept = this.options.keepsLonger?.(m.start[1]) ?? false;
         reply = await this.handler({
           method: m.start[0],
           path: mark < 0 ? m.start[1] : m.start[1].slice(0, mark),
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -22,12 +22,18 @@
   stored: number;
   /** Tasks that are, or may be, on a machine. */
   places: Map<number, Held>;
+  /** Further attempts of tasks that have a place already; they are being stopped. */
+  doubles: Set<Held>;
+  /** Completed attempts that their machines may forget once the completion is stored. */
+  unsettled: Held[];
   /** Versions of its chunks of done tasks. */
   chunkVersions: Map<number, number>;
   dirtyChunks: Set<number>;
   version: number;
   state: 'active' | 'done' | 'cancelled';
   writing: boolean;
+  /** Completed tasks are stored from then on, unless they are the last ones. */
+  storeAfter: number;
   /** Failures in a row, on whatever machine. */
   failures: number;
   failedOn: Set<string>;
@@ -75,11 +81,14 @@
     done: new TaskSet(spec.tasks),
     stored: 0,
     places: new Map(),
+    doubles: new Set(),
+    unsettled: [],
     chunkVersions: new Map(),
     dirtyChunks: new Set(),
     version: record.version,
     state: 'active',
     writing: false,
+    storeAfter: 0,
     failures: 0,
     failedOn: new Set(),
     notBefore: 0,
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,13 +6,14 @@
 import { systemClock } from './clock/clock.js';
 import { Cloud } from './cloud/cloud.js';
 import { LEVELS, makeLog } from './config/log.js';
-import { loadSettings, type Settings, SettingsError } from './config/settings.js';
+import { loadSettings, partSockets, type Settings, SettingsError } from './config/settings.js';
 import { HttpClient } from './http/client.js';
 import { HttpServer } from './http/server.js';
 import { PeerMesh } from './peer/mesh.js';
 import { ControllerNode } from './shards/node.js';
 import { Catalog, Names, type World } from './shards/world.js';
 import { StateStore } from './state/store.js';
+import { WORKER_PATHS } from './wire/workers.js';
 
 const EXIT_SETTINGS = 2;
 const EXIT_BIND = 3;
@@ -32,13 +33,9 @@
   process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught'));
   process.on('unhandledRejection', (error) => log.error({ error: String(error) }, 'unhandled'));
   const clock = systemClock;
-  // Sockets are parted: most for users and workers, the rest for what this node opens itself.
-  const sockets = settings.limits.maxSockets;
-  const outgoing = Math.max(8, Math.floor(sockets * 0.3));
-  // The services have connections of their own: asking hundreds of machines at once must not keep a lease from renewal.
-  const toServices = Math.max(4, Math.min(48, Math.floor(outgoing / 4)));
-  const services = new HttpClient(clock, toServices);
-  const http = new HttpClient(clock, outgoing - toServices);
+  const sockets = partSockets(settings.limits.maxSockets);
+  const services = new HttpClient(clock, sockets.services);
+  const http = new HttpClient(clock, sockets.workers);
   const names = new Names();
   for (const t of settings.teams) names.teams.index(t.name);
   for (const z of settings.zones) names.zones.index(z);
@@ -63,7 +60,8 @@
     log.error({ error: error instanceof Error ? error.stack : String(error) }, 'error');
   const mesh = new PeerMesh(clock, settings.node, settings.peers, onError);
   const server = new HttpServer(clock, (request) => api.handle(request), {
-    maxConnections: Math.max(16, sockets - outgoing - 80),
+    maxConnections: sockets.incoming,
+    keepsLonger: (path) => path === WORKER_PATHS.report,
     bodyBytes: 64 * 1024,
     requestMs: 10_000,
     idleMs: 90_000,
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -75,6 +75,7 @@
   gpus: number;
 }
 
+const INSTANT = 1e-3;
 /** No start on this machine. */
 const NEVER = Number.POSITIVE_INFINITY;
 
@@ -240,20 +241,68 @@
   startEarly(): void {
     let job: PlanJob | null = null;
     let open: number[] = [];
+    const roomy = this.roomyFor(this.bookings.filter((b) => b.start > this.now).map((b) => b.job));
     for (const b of this.bookings) {
       if (b.start <= this.now || b.job.kind === 'gang') continue;
       if (b.job !== job) {
         job = b.job;
-        open = this.openNow(job);
+        open = this.openNow(job, roomy);
       }
       if (open.length > 0) this.pullForward(b, open);
     }
   }
 
+  /**
+   * Machines that have room at this moment for the smallest of what tasks of these jobs take. A full fleet has few of
+   * them, so that a swarm of small jobs does not look at every machine for each.
+   */
+  private roomyFor(jobs: readonly PlanJob[]): number[] {
+    const least: Amounts = { cpus: NEVER, gpus: NEVER, memoryGb: NEVER };
+    for (const { need } of jobs) {
+      least.cpus = Math.min(least.cpus, need.cpus);
+      least.gpus = Math.min(least.gpus, need.gpus);
+      least.memoryGb = Math.min(least.memoryGb, need.memoryGb);
+    }
+    const roomy: number[] = [];
+    if (jobs.length === 0) return roomy;
+    for (let m = 0; m < this.machines.length; m++) {
+      if (this.machines[m]!.closed) continue;
+      this.looks++;
+      if (this.profiles[m]!.room(this.now, INSTANT, least, 1) > 0) roomy.push(m);
+    }
+    return roomy;
+  }
+
+  /**
+   * Books those unstarted tasks of a job that fit beside all that is booked from now on, each on the most loaded machine
+   * there is for it, and leaves the others for a later plan. For what comes last in a long queue: to book all of it ahead
+   * would cost more than it tells. Returns how many tasks were booked.
+   */
+  bookNow(job: PlanJob): number {
+    if (job.kind === 'gang') return this.gangNow(job) ? job.tasks.length : 0;
+    if (job.oneZone || job.spread) return 0;
+    this.lastRoomy ??= this.roomyFor([job]);
+    const team = this.teams.get(job.team);
+    let placed = 0;
+    for (const m of this.openNow(job, this.lastRoomy)) {
+      const span = this.spanOn(job, m);
+      let room = this.profiles[m]!.room(this.now, span, job.need, job.tasks.length - placed);
+      if (team) room = Math.min(room, team.room(this.now, span, job.need, room));
+      for (; room > 0; room--) {
+        const task = job.tasks[placed++]!;
+        this.put(this.push({ job, task, machine: m, start: this.now, end: this.now + span }));
+      }
+      if (placed === job.tasks.length) break;
+    }
+    return placed;
+  }
+
+  private lastRoomy: number[] | null = null;
+
   /** Machines where a task of the job fits from now on, the best first. */
-  private openNow(job: PlanJob): number[] {
+  private openNow(job: PlanJob, among: readonly number[]): number[] {
     const open: number[] = [];
-    for (let m = 0; m < this.machines.length; m++) {
+    for (const m of among) {
       if (!this.allowed(job, m, job.zone)) continue;
       if (this.profiles[m]!.size >= MAX_BOOKINGS) continue;
       this.looks++;
@@ -317,15 +366,24 @@
     }
     let finish = this.now;
     let placed = 0;
+    let m = -1;
+    let start = NEVER;
     for (const task of tasks) {
       if (team) {
         const from = team.earliest(teamFrom, longest, job.need);
         if (from === null) break;
         teamFrom = from;
       }
-      const m = this.bestFor(job, job.spread ? { perZone, half } : null, teamFrom, team);
+      // The machine that was the best is more loaded now: as long as the next task could start there at the same moment,
+      // it still is, and tiny tasks by the thousand do not each look at all machines.
+      const same =
+        m >= 0 &&
+        this.starts[m] === start &&
+        !job.spread &&
+        (!team || team.earliest(Math.max(start, teamFrom), this.spans[m]!, job.need) === start);
+      if (!same) m = this.bestFor(job, job.spread ? { perZone, half } : null, teamFrom, team);
       if (m < 0) break;
-      const start = this.starts[m]!;
+      start = this.starts[m]!;
       const end = start + this.spans[m]!;
       this.put(this.push({ job, task, machine: m, start, end }));
       this.estimate(job, m, start);
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -1,3 +1,4 @@
+import { mostMachines } from '../config/settings.js';
 import { fitCount } from '../plan/profile.js';
 import { StateFailure } from '../state/store.js';
 import type { ListedMachine } from '../wire/cloud.js';
@@ -198,6 +199,26 @@
     return counts;
   }
 
+  /** How many machines every shard has. */
+  private shardCounts(): number[] {
+    const counts = new Array<number>(this.shards).fill(0);
+    for (const [key, e] of this.mirror.entries) {
+      if (!key.startsWith(KEYS.machines)) continue;
+      const { shard } = e.value as MachineRecord;
+      if (counts[shard] !== undefined) counts[shard]++;
+    }
+    return counts;
+  }
+
+  /** A shard gets no more machines than its owner has connections for, or its part of them when there are too many. */
+  private mostOf(counts: readonly number[]): number {
+    const all = counts.reduce((sum, n) => sum + n, this.strays.size);
+    return Math.max(
+      mostMachines(this.world.settings.limits.maxSockets),
+      Math.ceil((all * 1.1) / this.shards),
+    );
+  }
+
   private count(counts: Map<string, number[]>, shard: number, type: string, zone: string): void {
     for (const kind of [type, `${type} ${zone}`]) {
       let list = counts.get(kind);
@@ -242,8 +263,11 @@
     for (const [id, at] of this.given) if (now - at > GIVEN_MS) this.given.delete(id);
     const fresh = [...this.gossip.values()].filter((g) => now - g.at < GOSSIP_MS).map((g) => g.told);
     const sizeOf = (type: string) => this.world.catalog.size(this.world.names.types.index(type));
+    const counts = this.shardCounts();
+    const most = this.mostOf(counts);
     for (const m of matchSpares(fresh, sizeOf)) {
-      if (this.given.has(m.machine)) continue;
+      if (this.given.has(m.machine) || counts[m.to]! >= most) continue;
+      counts[m.to]!++;
       this.given.set(m.machine, now);
       void this.giveAway(m.from, m.machine, m.to).catch(() => undefined);
     }
--- a/src/shards/preemption.ts
+++ b/src/shards/preemption.ts
@@ -47,8 +47,10 @@
    */
   makeRoom(waiting: ReadonlySet<Job>, now: number): void {
     const adopted = this.hooks.adopted();
+    const low = this.lowRuns();
     const urgent = [...waiting]
-      .filter((job) => job.spec.priority > PRIORITY.normal && (job.fresh || adopted))
+      .filter((job) => job.spec.priority > PRIORITY.normal || (low && job.spec.priority > PRIORITY.low))
+      .filter((job) => job.fresh || adopted)
       .filter(
         (job) => now - (this.preemptedAt.get(job.spec.id) ?? Number.NEGATIVE_INFINITY) >= PREEMPT_PAUSE_MS,
       )
@@ -69,6 +71,14 @@
     for (const id of this.preemptedAt.keys()) if (!this.jobs.has(id)) this.preemptedAt.delete(id);
   }
 
+  /** Whether there is work of the lowest priority, which ordinary work may stop as well. */
+  private lowRuns(): boolean {
+    for (const job of this.jobs.values()) {
+      if (job.spec.priority === PRIORITY.low && job.places.size > 0) return true;
+    }
+    return false;
+  }
+
   private victimsFor(job: Job, usage: Map<number, Amounts>, now: number): Held[] | null {
     const wanted = job.spec.kind === 'gang' ? job.spec.tasks : Math.min(openCount(job), 64);
     if (wanted <= 0 || (job.spec.kind === 'gang' && job.places.size > 0)) return null;
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -13,10 +13,11 @@
 import { type HeldBooking, type KeptPlace, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import type { RentOption, Shortage } from '../plan/rent.js';
+import { StateFailure } from '../state/store.js';
 import type { Entry } from '../wire/state.js';
 import { type JobSpec, type JobStatus, PRIORITY } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
-import { Fleet } from '../workers/fleet.js';
+import { Fleet, type GoneWhy } from '../workers/fleet.js';
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import type { Gossip } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
@@ -58,8 +59,13 @@
 const BOOKED_ANEW = 4;
 const BOOK_ANEW_MS = 1500;
 const BOOK_ANEW_SHARE = 20;
+/** What a plan may cost in looks at machines; what comes after in order is only started where there is room now. */
+const LOOKS_MOST = 150_000;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
+/** Completed tasks of a job are stored no more often than this, until the last one. */
+const GATHER_MS = 800;
+const GATHER_STEP_MS = 100;
 const ENDED_KEPT = 5000;
 /** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
 const RENT_AFTER_MS = 900;
@@ -113,7 +119,7 @@
       renewRecord: (m) => this.supply.writeRecord(m),
       found: (h) => this.found(h),
       changed: (h) => this.changed(h),
-      gone: (h) => this.gone(h),
+      gone: (h, why) => this.gone(h, why),
       stir: () => this.stir(),
     });
     this.starts = new Starts(world, term, this.fleet, this.jobs, this.log, {
@@ -281,6 +287,7 @@
       return true;
     } catch (error) {
       this.log.info({ machine: id, error: String(error) }, 'giving failed');
+      if (!(error instanceof StateFailure) || error.maybe) await this.supply.settleRecord(m);
       return false;
     } finally {
       this.supply.moving.delete(id);
@@ -314,6 +321,7 @@
     if (h.state !== 'exited') {
       if (job.done.has(h.index) || (other && other !== h)) this.fleet.halt(h, 0);
       if (!other) job.places.set(h.index, h);
+      else if (other !== h) job.doubles.add(h);
       this.noteAttempt(job, h);
       this.noteImageOf(job, h);
     } else {
@@ -344,7 +352,7 @@
   }
 
   private exited(job: Job, h: Held): void {
-    if (job.places.get(h.index) === h) job.places.delete(h.index);
+    this.leave(job, h);
     const m = h.machine;
     const now = this.world.clock.now();
     this.log.debug(
@@ -357,6 +365,7 @@
       job.failedOn.clear();
       if (h.runningAt !== null && h.exitedAt !== null) this.learn(job, (h.exitedAt - h.runningAt) / 1000);
       // The tasks of a gang complete together: if one is done, all are.
+      job.unsettled.push(h);
       const indexes = job.spec.kind === 'gang' ? [...Array(job.spec.tasks).keys()] : [h.index];
       for (const i of indexes) {
         if (job.done.add(i)) job.dirtyChunks.add(Math.floor(i / this.records.perChunk));
@@ -390,14 +399,34 @@
     for (const h of job.places.values()) if (!h.stop) this.fleet.halt(h, 0);
   }
 
-  private gone(h: Held): void {
+  private gone(h: Held, why: GoneWhy): void {
+    this.log.debug(
+      { task: `${h.job}/${h.index}`, attempt: h.attempt, machine: h.machine.id, phase: h.phase, why },
+      'task gone',
+    );
     const job = this.jobs.get(h.job);
     if (!job) return;
-    if (job.places.get(h.index) === h) job.places.delete(h.index);
+    this.leave(job, h);
     this.loosenGang(job);
     this.stir();
   }
 
+  /**
+   * An attempt is surely no longer on its machine. As long as another attempt of the same task is on one, and is only
+   * being stopped, the task has its place there: started meanwhile it would run twice.
+   */
+  private leave(job: Job, h: Held): void {
+    job.doubles.delete(h);
+    if (job.places.get(h.index) !== h) return;
+    job.places.delete(h.index);
+    for (const other of job.doubles) {
+      if (other.index !== h.index || other.state === 'exited') continue;
+      job.doubles.delete(other);
+      job.places.set(other.index, other);
+      return;
+    }
+  }
+
   /** Notes how far off the owner's estimate was. */
   private learn(job: Job, ranS: number): void {
     if (job.spec.estimateS <= 0 || ranS <= 1) return;
@@ -451,26 +480,31 @@
     return m;
   }
 
-  /** Makes done tasks durable; only then may the machines forget them. */
+  /**
+   * Makes done tasks durable; only then may the machines forget them. Completions that come close together are stored
+   * together: an array of tiny tasks would take the state service's rate away from acceptances.
+   */
   private async flush(job: Job): Promise<void> {
     if (job.writing) return;
     job.writing = true;
+    const unfinished = () => !this.stopped && job.state === 'active' && job.done.count < job.spec.tasks;
     try {
+      while (unfinished() && this.world.clock.now() < job.storeAfter) await this.pause(GATHER_STEP_MS);
       await this.mutex(job.spec.id).runExclusive(async () => {
-        while (!this.stopped && job.state === 'active' && job.stored < job.done.count) {
-          try {
-            if (job.done.count === job.spec.tasks) this.end(job, await this.records.finish(job, 'done'));
-            else await this.records.storeDone(job);
-          } catch (error) {
-            if (error instanceof NotOwner) throw this.lostOwnership();
-            this.log.debug({ job: job.spec.id, error: String(error) }, 'storing progress failed');
-            await this.pause(400);
-          }
+        if (this.stopped || job.state !== 'active' || job.stored >= job.done.count) return;
+        try {
+          if (job.done.count === job.spec.tasks) this.end(job, await this.records.finish(job, 'done'));
+          else await this.records.storeDone(job);
+        } catch (error) {
+          if (error instanceof NotOwner) throw this.lostOwnership();
+          this.log.debug({ job: job.spec.id, error: String(error) }, 'storing progress failed');
+          await this.pause(400);
         }
       });
     } catch (error) {
       if (!(error instanceof NotOwner)) this.log.error({ error: String(error) }, 'storing progress ended');
     } finally {
+      job.storeAfter = this.world.clock.now() + GATHER_MS;
       job.writing = false;
       this.settle(job);
     }
@@ -483,9 +517,8 @@
       void this.flush(job);
       return;
     }
-    for (const m of this.fleet.machines.values()) {
-      for (const h of m.held.values()) if (h.job === job.spec.id && h.state === 'exited') h.settled = true;
-    }
+    for (const h of job.unsettled) h.settled = true;
+    job.unsettled.length = 0;
   }
 
   private end(job: Job, status: 'done' | 'cancelled'): void {
@@ -545,6 +578,10 @@
       );
       if (accepted.kind === 'known') return this.repeated(spec.id, accepted.entry);
       this.check();
+      // Somebody who asked for the job while its acceptance was under way may have had it loaded, and tasks of it may
+      // run by now: a second copy in its place would know nothing of them and start them again.
+      const recalled = this.known(spec.id);
+      if (recalled) return { kind: 'known', status: recalled.status };
       trial.version = accepted.version;
       trial.deadlineWall = deadline;
       this.jobs.set(spec.id, trial);
@@ -820,7 +857,7 @@
     for (const other of this.inOrder()) {
       if (other.spec.priority < priority) break;
       const p = other.notBefore > now ? null : this.planJob(other, now);
-      if (p) this.book(plan, p, places.get(p.id));
+      if (p && plan.looks < LOOKS_MOST) this.book(plan, p, places.get(p.id));
     }
     // A plan that took long to make serves longer.
     const at = this.world.clock.now();
@@ -933,7 +970,8 @@
       if (!p) continue;
       byOrder.set(p.id, job);
       const kept = byOrder.size > BOOKED_ANEW ? places?.get(p.id) : undefined;
-      if (!this.book(plan, p, kept)) unplaced.push({ job, plan: p });
+      const booked = plan.looks < LOOKS_MOST ? this.book(plan, p, kept) : plan.bookNow(p) === p.tasks.length;
+      if (!booked) unplaced.push({ job, plan: p });
     }
     plan.startEarly();
     const after = this.world.clock.now();
@@ -1012,8 +1050,10 @@
       w.waitS = Math.max(w.waitS, b.start - t);
       if (b.start > t + w.bootS * 1.1 + 2) w.late++;
     }
+    const bookings = new Map<number, number>();
+    for (const b of plan.bookings) bookings.set(b.job.id, (bookings.get(b.job.id) ?? 0) + 1);
     for (const u of unplaced) {
-      const n = Math.max(1, openCount(u.job) - plan.bookings.filter((b) => b.job.id === u.job.order).length);
+      const n = Math.max(1, openCount(u.job) - (bookings.get(u.job.order) ?? 0));
       slot(u.job).soon += n;
       slot(u.job).late += n;
       slot(u.job).waitS = 600;
--- a/src/shards/supply.ts
+++ b/src/shards/supply.ts
@@ -1,6 +1,7 @@
 import { pause } from '../clock/clock.js';
 import { CloudFailure } from '../cloud/cloud.js';
 import type { Log } from '../config/log.js';
+import { mostMachines } from '../config/settings.js';
 import { NotOwner } from '../jobs/records.js';
 import { chooseRentals, type RentOption, type Shortage } from '../plan/rent.js';
 import { StateFailure } from '../state/store.js';
@@ -81,7 +82,16 @@
   order(short: Shortage[], now: number): void {
     const places = MAX_PENDING_RENTALS - this.rentals.size;
     if (short.length === 0 || places <= 0 || now < this.cloudPause.until) return;
-    const wanted = chooseRentals(short, this.options(now), RENT_LIMIT).slice(0, places);
+    // A shard has no more machines than its owner has connections for.
+    let room = mostMachines(this.world.settings.limits.maxSockets) - this.fleet.machines.size;
+    for (const r of this.rentals) room -= r.count;
+    const wanted = [];
+    for (const w of chooseRentals(short, this.options(now), RENT_LIMIT).slice(0, places)) {
+      const count = Math.min(w.count, room);
+      if (count <= 0) break;
+      room -= count;
+      wanted.push({ option: w.option, count });
+    }
     for (const w of wanted) void this.rent(w.option, w.count);
     if (wanted.length > 0) this.hooks.stir();
   }
@@ -123,6 +133,23 @@
     throw new StateFailure(`record of ${m.id} is not decided`, true);
   }
 
+  /**
+   * A write that gave a machine away got no answer and may yet be made. Until the record has a newer version of this
+   * shard's, or shows that it was made, the machine must hold nothing: its next owner would know of no task on it.
+   */
+  async settleRecord(m: Machine): Promise<void> {
+    while (!this.hooks.stopped() && this.fleet.machines.get(m.id) === m) {
+      try {
+        const version = await this.writeRecord(m);
+        this.hooks.recorded(m.id, { key: KEYS.machine(m.id), value: this.record(m), version });
+        return;
+      } catch (error) {
+        if (error instanceof NotOwner) return;
+        await pause(this.world.clock, 1000);
+      }
+    }
+  }
+
   /** What may be rented now, the shard's own zone first among equals. */
   options(now: number): RentOption[] {
     const out: RentOption[] = [];
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -12,6 +12,15 @@
 } from '../wire/workers.js';
 import { type Held, heldKey, type Machine } from './machine.js';
 
+/** How it became sure that a task is not on its machine. */
+export type GoneWhy =
+  | 'never sent'
+  | 'not executed'
+  | 'not reported'
+  | 'new session'
+  | 'lease over'
+  | 'machine gone';
+
 export interface FleetHooks {
   /** True while this node surely holds the shard. */
   entitled(): boolean;
@@ -22,7 +31,7 @@
   /** State or cause of a known task changed. */
   changed(h: Held): void;
   /** A task is surely no longer on its machine. */
-  gone(h: Held, why: 'refused' | 'lost'): void;
+  gone(h: Held, why: GoneWhy): void;
   /** Something changed that the plan should take in. */
   stir(): void;
 }
@@ -44,6 +53,8 @@
 /** Dealings with the machines of one shard. */
 export class Fleet {
   readonly machines = new Map<string, Machine>();
+  /** Tasks that are to stop and have not exited, as far as is known. */
+  private readonly stopping = new Set<Held>();
   private readonly contacting = new Set<string>();
   private readonly contactedAt = new Map<string, number>();
   private stopped = false;
@@ -93,7 +104,7 @@
         stop: null,
         settled: false,
       };
-      m.held.set(heldKey(s.job, s.index, s.attempt), h);
+      m.held.set(keyOf(h), h);
       return h;
     });
     m.idleSince = null;
@@ -110,19 +121,28 @@
     } else {
       h.stop = { graceS, since: now, sentAt: 0, hard: graceS === 0 };
     }
+    this.stopping.add(h);
   }
 
   /** Sends stops that have not been sent, or long ago, straight to the machines. */
   pushStops(): void {
     const now = this.clock.now();
-    for (const m of this.machines.values()) {
-      const due: Held[] = [];
-      for (const h of m.held.values()) {
-        if (h.stop && h.state !== 'exited' && now - h.stop.sentAt > 2000) due.push(h);
+    const due = new Map<Machine, Held[]>();
+    for (const h of this.stopping) {
+      const m = h.machine;
+      if (h.state === 'exited' || this.machines.get(m.id) !== m || !m.held.has(keyOf(h))) {
+        this.stopping.delete(h);
+        continue;
       }
-      if (due.length === 0 || !m.synced || !m.addr || !this.live) continue;
-      for (const h of due) h.stop!.sentAt = now;
-      void this.command(m, due.map(stopOrder)).catch(() => undefined);
+      if (!h.stop || now - h.stop.sentAt <= 2000 || !m.synced || !m.addr) continue;
+      const list = due.get(m);
+      if (list) list.push(h);
+      else due.set(m, [h]);
+    }
+    for (const [m, stops] of due) {
+      if (!this.live) return;
+      for (const h of stops) h.stop!.sentAt = now;
+      void this.command(m, stops.map(stopOrder)).catch(() => undefined);
     }
   }
 
@@ -146,7 +166,7 @@
   remove(m: Machine): void {
     this.machines.delete(m.id);
     this.contactedAt.delete(m.id);
-    this.dropAll(m);
+    this.dropAll(m, 'machine gone');
     m.unknown = false;
   }
 
@@ -189,14 +209,14 @@
     m.unknown = false;
     // What its present session still reports is from before its lease ended.
     if (m.session > 0) m.minSession = m.session + 1;
-    this.dropAll(m);
+    this.dropAll(m, 'lease over');
     this.hooks.stir();
   }
 
-  private dropAll(m: Machine): void {
+  private dropAll(m: Machine, why: GoneWhy): void {
     const all = [...m.held.values()];
     m.held.clear();
-    for (const h of all) if (h.state !== 'exited' || !h.settled) this.hooks.gone(h, 'lost');
+    for (const h of all) if (h.state !== 'exited' || !h.settled) this.hooks.gone(h, why);
   }
 
   private async sendStarts(m: Machine, held: Held[]): Promise<void> {
@@ -206,11 +226,11 @@
         for (const h of held) if (h.phase === 'sending') h.phase = 'known';
       });
       if (executed) m.unreachableAt = null;
-      else this.refuse(held);
+      else this.refuse(held, 'not executed');
     } catch (error) {
       m.unreachableAt = this.clock.now();
       if (error instanceof HttpFailure && !error.sent) {
-        this.refuse(held);
+        this.refuse(held, 'never sent');
         return;
       }
       // The command may be executed at any later time while token and session match. Only a newer token, or the end of
@@ -221,11 +241,11 @@
     }
   }
 
-  private refuse(held: Held[]): void {
+  private refuse(held: Held[], why: GoneWhy): void {
     for (const h of held) {
       if (h.phase !== 'sending') continue;
-      h.machine.held.delete(heldKey(h.job, h.index, h.attempt));
-      this.hooks.gone(h, 'refused');
+      h.machine.held.delete(keyOf(h));
+      this.hooks.gone(h, why);
     }
     this.hooks.stir();
   }
@@ -273,9 +293,12 @@
     if (r.token > m.token) return 'foreign';
     const now = this.clock.now();
     const fresh = r.session > m.session;
+    // The lease of a session counts from its beginning, which is known only to lie before this report. A session that shows
+    // itself in the answer to a command outlasts the last answered report, which was of the session before it.
+    if (fresh) m.answeredAt = Math.max(m.answeredAt, now);
     if (fresh && m.session > 0) {
       // A new session begins with no tasks.
-      this.dropAll(m);
+      this.dropAll(m, 'new session');
     }
     m.session = r.session;
     m.seq = r.seq;
@@ -353,7 +376,7 @@
       if (h.phase === 'answer' && via === 'command') continue;
       if (h.phase === 'unsure' && h.token >= m.token) continue;
       m.held.delete(key);
-      if (!(h.state === 'exited' && h.settled)) this.hooks.gone(h, h.phase === 'known' ? 'lost' : 'refused');
+      if (!(h.state === 'exited' && h.settled)) this.hooks.gone(h, 'not reported');
     }
     if (m.held.size === 0) m.idleSince ??= now;
     else m.idleSince = null;
@@ -372,6 +395,10 @@
   }
 }
 
+function keyOf(h: Held): string {
+  return heldKey(h.job, h.index, h.attempt);
+}
+
 function stopOrder(h: Held): Order {
   return { op: 'stop', job: h.job, index: h.index, attempt: h.attempt, graceS: h.stop?.graceS ?? 0 };
 }
