--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -96,6 +96,84 @@
   assert.ok(await c.clock.until(() => second.on('wk-1/0'), 15_000));
 });
 
+// Guards against a lease counted from the last answered report alone: an overloaded controller answered so late that the
+// machine had begun its next session, learnt of that session from the answer to a start, and took the machine for lost
+// while the start's task ran on (recorded day inc-05ed: tasks ran twice).
+test('the lease of a session that shows itself in the answer to a command counts from there', async () => {
+  const c = new FakeCluster(['n0']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  await c.clock.advance(6000);
+  assert.ok(w.baton > 0);
+  c.silent.add(w);
+  const quiet = w.lastSent;
+  await c.clock.advance(15_000);
+  // The controller answers this report, but too late for the machine.
+  const late = await c.call('n0', 'POST', '/v1/report', w.report());
+  assert.equal(late.status, 200);
+  await c.clock.advance(quiet + LEASE_S * 1000 + 1000 - c.clock.now());
+  assert.ok(await c.submit('n0', job('wk-1', { cpus: 8 })));
+  assert.ok(await started(c, 'wk-1/0', 2000), 'started in the next session');
+  assert.equal(w.shift, 2);
+  const other = c.addWorker('c8', 'a');
+  // Half a second after a lease from the last answered report, and before the end of the session's own.
+  await c.clock.advance(quiet + (15 + LEASE_S + 2) * 1000 - c.clock.now());
+  assert.ok(w.on('wk-1/0'), 'its lease still lasts');
+  assert.equal(other.started.length, 0, 'not started elsewhere meanwhile');
+  assert.ok(await c.clock.until(() => other.on('wk-1/0'), 30_000), 'but once the lease is surely over');
+});
+
+// Guards against a second copy of a job in memory: it knew nothing of the tasks that the first one had started.
+test('a job that is asked for while its acceptance is under way is not replaced, and runs once', async () => {
+  const c = new FakeCluster(['n0']);
+  const first = c.addWorker('c8', 'a');
+  const second = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-0')));
+  await c.clock.advance(2000);
+  c.net.fate = (_f, _a, _m, path, body) =>
+    path === '/txn' && JSON.stringify(body).includes('job/wk-1') ? 'lost-answer' : 'deliver';
+  const accepted = c.call('n0', 'POST', '/api/jobs', job('wk-1'));
+  await c.clock.advance(500);
+  assert.equal((await c.call('n0', 'GET', '/api/jobs/wk-1')).status, 200);
+  assert.ok(await started(c, 'wk-1/0', 2000));
+  assert.ok([200, 201].includes((await accepted).status));
+  await c.clock.advance(10_000);
+  const starts = [...first.started, ...second.started].filter((p) => p === 'wk-1/0');
+  assert.equal(starts.length, 1);
+});
+
+// Guards against work on a machine that a write without an answer may yet give away: its next owner would know of no
+// task there, and this one would start the task again.
+test('a machine whose giving away is undecided takes no task until the record is settled', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  const w = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  c.startNode('n1');
+  await c.clock.advance(8000);
+  const owner = (shard: number) =>
+    [...c.nodes].find(([name, r]) => r.node.members.owner(shard)?.node === name)![0];
+  const record = () => c.state.value(`c/m/${w.id}`) as { shard: number };
+  const from = record().shard;
+  const name = owner(from);
+  c.net.fate = (_f, _a, _m, path, body) =>
+    path === '/txn' && JSON.stringify(body).includes(`"set":"c/m/${w.id}"`) && c.net.held.length === 0
+      ? 'hold'
+      : 'deliver';
+  const given = c.nodes.get(name)!.node.serve('give', { shard: from, machine: w.id, to: 1 - from });
+  assert.ok(await c.submit(name, job('wk-1')));
+  assert.equal(w.started.length, 0, 'not while the write may yet be made');
+  assert.ok(await c.clock.until(() => c.net.held.length === 1, 1000));
+  await c.clock.advance(4000);
+  assert.equal(await given, false);
+  const before = record();
+  await c.net.release();
+  assert.deepEqual(record(), before, 'the late copy of the write does nothing');
+  await c.clock.advance(6000);
+  assert.equal(w.started.length, 1);
+  assert.ok(w.on('wk-1/0'));
+});
+
 test('an order held back is void once the machine has a newer token', async () => {
   const c = new FakeCluster(['n0']);
   const w = c.addWorker('c8', 'a');
