--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -34,8 +34,10 @@
   writing: boolean;
   /** Completed tasks are stored from then on, unless they are the last ones. */
   storeAfter: number;
-  /** Failures in a row, on whatever machine. */
+  /** Rounds of retries that have failed while it is under suspicion. */
   failures: number;
+  /** It fails on every machine: submitted with a mistake, as it seems. */
+  suspect: boolean;
   failedOn: Set<string>;
   notBefore: number;
   attempt: number;
@@ -90,6 +92,7 @@
     writing: false,
     storeAfter: 0,
     failures: 0,
+    suspect: false,
     failedOn: new Set(),
     notBefore: 0,
     attempt: 0,
@@ -126,7 +129,8 @@
   for (const job of jobs) {
     const team = teams[job.team];
     const sum = used[job.team];
-    if (!team || !sum) continue;
+    // A job that fails everywhere holds no guarantee that others wait for.
+    if (!team || !sum || job.suspect) continue;
     // A team with a guarantee of GPUs alone counts GPUs alone, for work that needs them.
     const measured = team.cpus > 0 || (team.gpus > 0 && job.need.gpus > 0);
     const fits = () => (team.cpus <= 0 || sum.cpus <= team.cpus) && (team.gpus <= 0 || sum.gpus <= team.gpus);
--- a/src/shards/keys.ts
+++ b/src/shards/keys.ts
@@ -19,7 +19,13 @@
   chunk: (shard: number, id: string, chunk: number) => `act/${shard}/${id}/${chunk}`,
 };
 
-const holder = v.object({ node: v.string(), run: v.string(), lease: v.number() });
+const holder = v.object({
+  node: v.string(),
+  run: v.string(),
+  lease: v.number(),
+  /** In the key of a node: the workers cannot reach it, and it takes no shard. */
+  aside: v.optional(v.boolean()),
+});
 export type Holder = v.InferOutput<typeof holder>;
 
 export function readHolder(value: unknown): Holder | null {
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -71,6 +71,19 @@
     return this.mirror.entries.has(KEYS.node(node));
   }
 
+  /** Whether a node leaves its shards to others. */
+  aside(node: string): boolean {
+    const e = this.mirror.entries.get(KEYS.node(node));
+    return (e && readHolder(e.value)?.aside) === true;
+  }
+
+  /** Tells the others whether this node takes shards. */
+  async tellAside(aside: boolean): Promise<void> {
+    if (this.lease === null) return;
+    const value = { ...this.holder, aside };
+    await this.store.txn([], [{ put: KEYS.node(this.node), value, lease: this.lease }], true);
+  }
+
   async start(): Promise<void> {
     void this.mirror.run();
     for (;;) {
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -4,12 +4,13 @@
 import { Answered, type Mesh } from '../peer/mesh.js';
 import type { Entry } from '../wire/state.js';
 import type { JobSpec } from '../wire/users.js';
-import type { Report } from '../wire/workers.js';
+import { type Report, WORKER_PATHS } from '../wire/workers.js';
 import { readGossip } from './gossip.js';
 import { KEYS, readMachineRecord, readTeams } from './keys.js';
 import { Leader, type Stray } from './leader.js';
 import { Mailbox } from './mailbox.js';
 import { Members } from './members.js';
+import { Reach } from './reach.js';
 import { Shard, type StatusAnswer, type SubmitAnswer, Unavailable } from './shard.js';
 import type { World } from './world.js';
 
@@ -23,13 +24,25 @@
 const LIST_MS = 5000;
 const TYPES_MS = 30_000;
 const ASK_MS = 3500;
-/** When a question can also go by way of the state service, less is spent on the direct way. */
+/**
+ * When a question can also be answered by way of the state service, less is spent on the direct way: users wait 2 s for
+ * the state of a job and 5 s for other answers.
+ */
 const ASK_FIRST_MS = 1800;
+const ASK_STATUS_MS = 900;
+/** An owner that has answered neither directly nor by letter is not written to for this long: users are told at once. */
+const NO_LETTERS_MS = 2500;
 const MAIL_MS = 1000;
 const MAILED = new Set(['submit', 'cancel']);
 /** How long a shard stays its dead home node's to take again. */
 const ADOPT_AFTER_MS = 1500;
 const HAND_BACK_AFTER_MS = 6000;
+/** A node that stands aside takes a shard all the same when nobody else has for so long. */
+const NOBODY_ELSE_MS = 12_000;
+/** Machines that are asked whether this node reaches them again, and how many must answer. */
+const PROBES = 5;
+const PROBES_ANSWERED = 3;
+const PROBE_MS = 1500;
 const ROUTES_KEPT = 20_000;
 const GONE_KEPT = 2000;
 
@@ -42,6 +55,14 @@
   private readonly zones: Map<string, string>;
   private readonly ownerGoneSince = new Map<string, number>();
   private readonly homeSince = new Map<number, number>();
+  private readonly reach: Reach;
+  private probing = false;
+  /**
+   * Terms under which this node has owned a shard and does so no more. None is ever taken up again: tokens and attempts
+   * would be those of the former ownership, whose orders may still be under way.
+   */
+  private readonly spentTerms = new Set<number>();
+  private readonly noLettersUntil = new Map<string, number>();
   private readonly claiming = new Set<string>();
   private readonly routes = new Map<string, JobEntry>();
   private leader: Leader | null = null;
@@ -50,6 +71,7 @@
   constructor(private readonly world: World) {
     const s = world.settings;
     this.order = [s.node, ...s.peers.map((p) => p.node)].sort();
+    this.reach = new Reach(world.clock);
     this.zones = new Map([s, ...s.peers].map((n) => [n.node, n.zone]));
     this.members = new Members(
       world.clock,
@@ -99,34 +121,110 @@
   }
 
   private dropAll(): void {
-    for (const shard of this.shards.values()) shard.stop();
-    this.shards.clear();
+    for (const shard of [...this.shards.values()]) this.drop(shard);
     this.leader?.stop();
     this.leader = null;
   }
 
   private drop(shard: Shard): void {
     shard.stop();
+    this.spentTerms.add(shard.term);
     if (this.shards.get(shard.index) === shard) this.shards.delete(shard.index);
   }
 
   private claimLoop(): void {
     if (this.members.valid && this.members.mirror.ready) {
+      this.considerStandingAside();
       for (let k = 0; k < this.world.settings.nodes; k++) this.consider(k);
       this.considerLeading();
     }
     this.world.clock.after(CLAIM_MS, () => this.claimLoop());
   }
 
+  // --- cut off from the workers
+
+  /** A node that machines cannot reach leaves its shards to others, and comes back when it reaches machines again. */
+  private considerStandingAside(): void {
+    if (this.reach.aside) {
+      if (this.reach.mayReturn && !this.probing) void this.probe();
+      return;
+    }
+    const now = this.world.clock.now();
+    const recent = this.world.settings.workers.leaseS * 1000;
+    let known = 0;
+    for (const s of this.shards.values()) {
+      for (const m of s.fleet.machines.values())
+        if (m.heardAt !== null && now - m.heardAt < recent && !m.lost) known++;
+    }
+    if (known === 0 || !this.reach.cutOff(known) || this.world.settings.peers.length === 0) return;
+    this.reach.standAside();
+    this.world.log.warn({ machines: known }, 'workers cannot reach this node: leaving its shards to others');
+    const shards = [...this.shards.values()];
+    for (const s of shards) this.drop(s);
+    void this.members
+      .tellAside(true)
+      .catch((error) => this.world.log.info({ error: String(error) }, 'standing aside not told'))
+      .then(() => Promise.all(shards.map((s) => this.release(s.index, s.term))));
+  }
+
+  private async probe(): Promise<void> {
+    this.probing = true;
+    try {
+      const addrs: string[] = [];
+      for (const [key, e] of this.members.mirror.entries) {
+        const record = key.startsWith(KEYS.machines) ? readMachineRecord(e.value) : null;
+        if (record?.addr) addrs.push(record.addr);
+      }
+      const step = Math.max(1, Math.floor(addrs.length / PROBES));
+      const asked = addrs.filter((_, i) => i % step === 0).slice(0, PROBES);
+      const answers = await Promise.all(
+        asked.map((addr) =>
+          this.world.http.request(addr, 'GET', WORKER_PATHS.show, null, PROBE_MS).then(
+            () => 1,
+            () => 0,
+          ),
+        ),
+      );
+      const answered = answers.reduce<number>((sum, n) => sum + n, 0);
+      if (answered < Math.min(PROBES_ANSWERED, asked.length)) return;
+      this.reach.comeBack();
+      this.world.log.info('workers can be reached again');
+      await this.members.tellAside(false);
+    } catch (error) {
+      this.world.log.info({ error: String(error) }, 'coming back not told');
+    } finally {
+      await pause(this.world.clock, PROBE_MS);
+      this.probing = false;
+    }
+  }
+
+  /** Lets another node have a shard that this one has dropped. */
+  private async release(k: number, term: number): Promise<void> {
+    const key = KEYS.owner(k);
+    try {
+      const r = await this.world.store.txn([{ key, version: term }], [{ delete: key }]);
+      if (r.ok) this.members.mirror.remove(key, r.revision);
+    } catch (error) {
+      this.world.log.info({ shard: k, error: String(error) }, 'shard not released');
+    }
+  }
+
   private home(shard: number): string {
     return this.order[shard % this.order.length]!;
   }
 
-  /** How long this node waits before it takes a key that nobody holds: first the home node, then the others in turn. */
+  /**
+   * How long this node waits before it takes a key that nobody holds: first the home node, then the others in turn.
+   * Nobody waits for one that stands aside.
+   */
   private patience(shard: number): number {
+    if (this.reach.aside) return NOBODY_ELSE_MS;
     const n = this.order.length;
-    const rank = (this.order.indexOf(this.world.settings.node) - (shard % n) + n) % n;
-    return rank === 0 ? 0 : ADOPT_AFTER_MS * rank;
+    let wait = 0;
+    for (let i = 0; this.order[(shard + i) % n] !== this.world.settings.node; i++) {
+      if (!this.members.aside(this.order[(shard + i) % n]!)) wait += ADOPT_AFTER_MS;
+    }
+    return wait;
   }
 
   private consider(k: number): void {
@@ -141,8 +239,11 @@
         // Somebody else's, or a newer term of this node's.
         if (entry.version > mine.term) this.drop(mine);
       }
-      // A claim that was thought lost has been made after all.
-      if (here && !this.shards.has(k) && !this.claiming.has(key)) this.take(k, entry.version);
+      if (here && !this.shards.has(k) && !this.claiming.has(key)) {
+        // A claim that was thought lost has been made after all; or the key of a former ownership is still there.
+        if (this.spentTerms.has(entry.version)) this.releaseSpent(k, entry.version);
+        else this.take(k, entry.version);
+      }
       if (here && this.shards.has(k)) this.considerHandBack(k);
       return;
     }
@@ -180,7 +281,7 @@
   private considerHandBack(k: number): void {
     const home = this.home(k);
     const now = this.world.clock.now();
-    if (home === this.world.settings.node || !this.members.present(home)) {
+    if (home === this.world.settings.node || !this.members.present(home) || this.members.aside(home)) {
       this.homeSince.delete(k);
       return;
     }
@@ -192,13 +293,13 @@
     this.homeSince.delete(k);
     this.world.log.info({ shard: k, to: home }, 'handing back');
     this.drop(shard);
+    this.releaseSpent(k, shard.term);
+  }
+
+  private releaseSpent(k: number, term: number): void {
     const key = KEYS.owner(k);
-    void this.world.store
-      .txn([{ key, version: shard.term }], [{ delete: key }])
-      .then((r) => {
-        if (r.ok) this.members.mirror.remove(key, r.revision);
-      })
-      .catch((error) => this.world.log.info({ error: String(error) }, 'handing back failed'));
+    this.claiming.add(key);
+    void this.release(k, term).finally(() => this.claiming.delete(key));
   }
 
   private considerLeading(): void {
@@ -337,6 +438,9 @@
       case 'stray':
         this.leader?.seen(a as unknown as Stray);
         return null;
+      case 'sent':
+        this.reach.sentHere(String(a.machine));
+        return null;
       case 'give': {
         const shard = this.shards.get(Number(a.shard));
         return shard ? shard.give(String(a.machine), Number(a.to)) : false;
@@ -373,19 +477,24 @@
     if (!owner || owner.node === this.world.settings.node || !this.mesh)
       throw new Unavailable('no owner at present');
     const mailed = MAILED.has(op);
+    const ms = mailed ? ASK_FIRST_MS : op === 'status' ? ASK_STATUS_MS : ASK_MS;
     try {
-      return (await this.mesh.ask(owner.node, op, { shard, ...args }, mailed ? ASK_FIRST_MS : ASK_MS)) as T;
+      return (await this.mesh.ask(owner.node, op, { shard, ...args }, ms)) as T;
     } catch (error) {
       // An owner that answers is not to be asked again: it knows best that it cannot serve now.
-      if (mailed && !(error instanceof Answered)) return await this.askByMail<T>(shard, op, args);
+      if (mailed && !(error instanceof Answered)) return await this.askByMail<T>(shard, owner.run, op, args);
       throw new Unavailable(error instanceof Error ? error.message : 'owner does not answer');
     }
   }
 
-  private async askByMail<T>(shard: number, op: string, args: object): Promise<T> {
+  private async askByMail<T>(shard: number, run: string, op: string, args: object): Promise<T> {
+    const now = this.world.clock.now();
+    if (now < (this.noLettersUntil.get(run) ?? 0)) throw new Unavailable('owner does not answer');
     try {
       return (await this.mailbox.ask(shard, op, { ...args }, MAIL_MS)) as T;
     } catch (error) {
+      if (this.noLettersUntil.size > this.order.length * 4) this.noLettersUntil.clear();
+      this.noLettersUntil.set(run, this.world.clock.now() + NO_LETTERS_MS);
       throw new Unavailable(error instanceof Error ? error.message : 'owner does not answer');
     }
   }
@@ -409,7 +518,7 @@
     const known = this.routes.get(id);
     if (known) return known;
     for (const s of this.shards.values()) if (s.ready && s.jobs.has(id)) return { shard: s.index };
-    const stored = await this.world.store.get(KEYS.job(id));
+    const stored = await this.world.store.look(KEYS.job(id));
     const entry = stored && readJobEntry(stored.value);
     if (stored && !entry) throw new Unavailable('unreadable record');
     if (entry) this.remember(id, entry);
@@ -422,7 +531,7 @@
    * older than what the user was told.
    */
   private async stored(id: string): Promise<StatusAnswer | null> {
-    const found = await this.world.store.get(KEYS.job(id));
+    const found = await this.world.store.look(KEYS.job(id));
     const entry = found && readJobEntry(found.value);
     if (!entry) return null;
     this.remember(id, entry);
@@ -496,6 +605,7 @@
     for (const s of this.shards.values()) {
       const m = s.fleet.machines.get(r.machine);
       if (!m) continue;
+      this.reach.heard(m.id);
       const body = s.report(m, r);
       return body ? { kind: 'orders', body } : { kind: 'busy' };
     }
@@ -507,6 +617,7 @@
     }
     const owner = this.members.owner(record.shard);
     if (!owner || owner.node === this.world.settings.node) return { kind: 'busy' };
+    this.mesh?.tell(owner.node, 'sent', { machine: r.machine });
     return { kind: 'redirect', node: owner.node };
   }
 
--- /dev/null
+++ b/src/shards/reach.ts
@@ -0,0 +1,80 @@
+import type { Clock } from '../clock/clock.js';
+
+/** A machine counts as astray when other nodes have sent it here so often, over so long, and it has not come. */
+const SENT_TIMES = 2;
+const SENT_OVER_MS = 3000;
+/** What other nodes told is of no use after this. */
+const TOLD_MS = 9000;
+/** One machine that cannot come has a fault of its own. */
+const FEWEST = 2;
+const SHARE = 0.5;
+/** A node that was cut off stays aside for this long at least, and for twice as long each time it happens again soon. */
+const ASIDE_MS = 10_000;
+const ASIDE_MOST_MS = 160_000;
+const FORGIVEN_MS = 300_000;
+
+interface Told {
+  first: number;
+  last: number;
+  times: number;
+}
+
+/**
+ * Whether the machines of this node's shards can reach it. A node that only the workers are cut off from can still renew
+ * its lease, so nobody else would take its shards. What shows it is that machines report to other nodes, are sent here,
+ * and do not come; a machine that is at fault itself reports to nobody.
+ */
+export class Reach {
+  private readonly told = new Map<string, Told>();
+  private until = 0;
+  private asideMs = ASIDE_MS;
+  private endedAt = Number.NEGATIVE_INFINITY;
+  /** The node leaves its shards to others, since the workers cannot reach it. */
+  aside = false;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Another node has sent a machine here. */
+  sentHere(machine: string): void {
+    const now = this.clock.now();
+    const t = this.told.get(machine);
+    if (t && now - t.last < TOLD_MS) {
+      t.times++;
+      t.last = now;
+    } else this.told.set(machine, { first: now, last: now, times: 1 });
+  }
+
+  heard(machine: string): void {
+    if (this.told.size > 0) this.told.delete(machine);
+  }
+
+  /** Whether half of `known` machines, those that reported here not long ago, cannot come any more. */
+  cutOff(known: number): boolean {
+    const now = this.clock.now();
+    let astray = 0;
+    for (const [machine, t] of this.told) {
+      if (now - t.last > TOLD_MS) this.told.delete(machine);
+      else if (t.times >= SENT_TIMES && now - t.first >= SENT_OVER_MS) astray++;
+    }
+    return astray >= Math.max(FEWEST, known * SHARE);
+  }
+
+  standAside(): void {
+    const now = this.clock.now();
+    this.asideMs = now - this.endedAt < FORGIVEN_MS ? Math.min(ASIDE_MOST_MS, this.asideMs * 2) : ASIDE_MS;
+    this.until = now + this.asideMs;
+    this.aside = true;
+    this.told.clear();
+  }
+
+  /** Whether it is time to see if machines can be reached again. */
+  get mayReturn(): boolean {
+    return this.aside && this.clock.now() >= this.until;
+  }
+
+  comeBack(): void {
+    this.aside = false;
+    this.endedAt = this.clock.now();
+    this.told.clear();
+  }
+}
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -19,6 +19,7 @@
 import type { Report } from '../wire/workers.js';
 import { Fleet, type GoneWhy } from '../workers/fleet.js';
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
+import { Blame } from './blame.js';
 import type { Gossip } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
 import { Preemption } from './preemption.js';
@@ -80,6 +81,7 @@
   private readonly supply: Supply;
   private readonly preemption: Preemption;
   private readonly starts: Starts;
+  private readonly blame: Blame;
   readonly jobs = new Map<string, Job>();
   private readonly ended = new Map<string, Ended>();
   private readonly records: JobRecords;
@@ -122,6 +124,7 @@
       gone: (h, why) => this.gone(h, why),
       stir: () => this.stir(),
     });
+    this.blame = new Blame(this.jobs, this.fleet.machines, this.log);
     this.starts = new Starts(world, term, this.fleet, this.jobs, this.log, {
       useOf: (h) => this.useOf(h),
       unseen: () => this.unseen(),
@@ -360,9 +363,7 @@
       'task exited',
     );
     if (h.cause === 'done') {
-      m.errors = 0;
-      job.failures = 0;
-      job.failedOn.clear();
+      this.blame.succeeded(job, m);
       if (h.runningAt !== null && h.exitedAt !== null) this.learn(job, (h.exitedAt - h.runningAt) / 1000);
       // The tasks of a gang complete together: if one is done, all are.
       job.unsettled.push(h);
@@ -374,25 +375,12 @@
       return;
     }
     h.settled = true;
-    if (h.cause === 'error') this.blame(job, m, now);
-    if (h.cause === 'no_room') m.closedUntil = now + 4000;
-    if (h.cause === 'busy' || h.cause === 'unknown') job.notBefore = now + 3000;
+    if (h.cause === 'error') this.blame.failed(job, m, now);
+    if (h.cause === 'no_room') m.closedUntil = Math.max(m.closedUntil, now + 4000);
+    if (h.cause === 'busy' || h.cause === 'unknown') job.notBefore = Math.max(job.notBefore, now + 3000);
     this.loosenGang(job);
   }
 
-  /** A failure is the machine's, mostly; a job that fails on many machines was submitted with a mistake. */
-  private blame(job: Job, m: Machine, now: number): void {
-    job.failures++;
-    job.failedOn.add(m.id);
-    if (job.failedOn.size >= 3) {
-      job.notBefore = now + Math.min(120_000, 5000 * 2 ** Math.min(6, job.failures - 3));
-      return;
-    }
-    m.errors++;
-    m.closedUntil = now + Math.min(300_000, 15_000 * 2 ** (m.errors - 1));
-    this.log.info({ machine: m.id, errors: m.errors }, 'machine failed a task');
-  }
-
   /** When a gang has lost a task, the rest of the attempt is of no use; the next waits until all are gone. */
   private loosenGang(job: Job): void {
     if (job.spec.kind !== 'gang' || job.places.size === 0) return;
@@ -744,7 +732,10 @@
 
   private planJob(job: Job, now: number): PlanJob | null {
     if (job.spec.kind === 'gang' && job.places.size > 0) return null;
-    const tasks = openTasks(job, job.spec.kind === 'gang' ? job.spec.tasks : 300);
+    // A job that fails everywhere is tried with one task.
+    const one = job.suspect && job.spec.kind !== 'gang';
+    if (one && job.places.size > 0) return null;
+    const tasks = openTasks(job, one ? 1 : job.spec.kind === 'gang' ? job.spec.tasks : 300);
     if (tasks.length === 0) return null;
     const present = new Map<number, number>();
     for (const h of job.places.values()) {
@@ -882,6 +873,7 @@
   private tell(now: number): void {
     if (now - this.toldAt < TELL_MS) return;
     this.toldAt = now;
+    this.blame.sweep();
     const teams: Record<string, { jobs: number; placed: number; open: number }> = {};
     for (const job of this.jobs.values()) {
       teams[job.spec.team] ??= { jobs: 0, placed: 0, open: 0 };
@@ -988,6 +980,7 @@
       const job = byOrder.get(b.job.id);
       if (job && b.start > now / 1000 + PREEMPT_WAIT_S) waiting.add(job);
     }
+    for (const job of waiting) if (job.suspect) waiting.delete(job);
     this.preemption.makeRoom(waiting, now);
     this.shortages(plan, unplaced, byOrder, now);
   }
@@ -1065,6 +1058,7 @@
       const job = this.jobs.get(id);
       if (!job || !waiting.has(job)) this.shortSince.delete(id);
     }
+    for (const job of waiting.keys()) if (job.suspect) waiting.delete(job);
     for (const [job, w] of [...waiting].sort(
       (a, b) => b[0].spec.priority - a[0].spec.priority || a[0].order - b[0].order,
     )) {
--- a/src/shards/supply.ts
+++ b/src/shards/supply.ts
@@ -9,6 +9,7 @@
 import type { Condition, Entry } from '../wire/state.js';
 import type { Fleet } from '../workers/fleet.js';
 import type { Machine } from '../workers/machine.js';
+import { SICK_ERRORS } from './blame.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
 import type { World } from './world.js';
 
@@ -270,7 +271,7 @@
         now - m.rentedAt > type.bootS * OVERDUE_BOOTS * 1000 + 5000 &&
         now - this.claimedAt > 10_000;
       const silent = m.lost && now - this.fleet.leaseEnd(m) > SILENT_RETURN_MS;
-      const sick = m.errors >= 3 && m.held.size === 0 && m.synced;
+      const sick = m.errors >= SICK_ERRORS && m.held.size === 0 && m.synced;
       if (m.leaving || idle || never || silent || sick) due.push(m);
     }
     if (due.length > 0) void this.giveBack(due.slice(0, RELEASE_LIMIT));
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -40,12 +40,17 @@
 const REFUSED_MOST_MS = 1500;
 /** The most that one node takes of the rates while the others need less. */
 const MOST_OF_ALL = 0.6;
+/** Of a node's part of the rate, what users' questions may take, and how long one waits for its turn. */
+const QUESTIONS_SHARE = 0.4;
+const QUESTION_WAIT_MS = 400;
 const PAGE = 500;
 
 /** The state service, within this node's part of its rates. */
 export class StateStore {
   private readonly requests: Limiter;
   private readonly changes: Limiter;
+  private readonly questions: Limiter;
+  private readonly looking = new Map<string, Promise<Entry | null>>();
 
   constructor(
     private readonly clock: Clock,
@@ -59,6 +64,26 @@
     const limiter = (rate: number) => new Limiter(clock, rate * part, rate * part, rate * most);
     this.requests = limiter(limits.rps);
     this.changes = limiter(limits.writeRps);
+    const asked = limits.rps * part * QUESTIONS_SHARE;
+    this.questions = new Limiter(clock, asked, asked, limits.rps * most * QUESTIONS_SHARE);
+  }
+
+  /**
+   * A read for a user's question. Many users may ask at once, also for jobs that nobody has submitted: those who wait
+   * for their turn with the same key share a read, and all reads take no more than a part of this node's rate, so that
+   * they keep neither acceptances nor completions waiting. A read that has been sent is not shared any more: what it
+   * finds may be older than what a user has been told since. Fails soon when there are too many.
+   */
+  look(key: string): Promise<Entry | null> {
+    const waiting = this.looking.get(key);
+    if (waiting) return waiting;
+    const read = this.questions
+      .take(1, false, QUESTION_WAIT_MS)
+      .catch(() => Promise.reject(new StateFailure('too many questions', false)))
+      .finally(() => this.looking.delete(key))
+      .then(() => this.get(key));
+    this.looking.set(key, read);
+    return read;
   }
 
   async get(key: string): Promise<Entry | null> {
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -174,6 +174,54 @@
   assert.ok(w.on('wk-1/0'));
 });
 
+// Guards against an owner that only the workers are cut off from: it renews its lease for as long as the cut lasts, and
+// every machine of its shard loses its tasks (recorded day inc-667e).
+test('an owner that machines cannot reach leaves its shard to another before their leases run out', async () => {
+  const c = new FakeCluster(['n0', 'n1', 'n2']);
+  const machines = [1, 2, 3, 4].map(() => c.addWorker('c8', 'a'));
+  for (const n of ['n0', 'n1', 'n2']) c.startNode(n);
+  await c.clock.advance(6000);
+  assert.ok(await c.submit('n1', job('wk-1', { pieces: 4, cpus: 8 })));
+  assert.ok(await c.clock.until(() => machines.every((w) => w.started.length === 1), 15_000));
+  const shard = (c.state.value(`c/m/${machines[0]!.id}`) as { shard: number }).shard;
+  const owner = () => (c.state.value(`c/own/${shard}`) as { node: string } | undefined)?.node;
+  const cut = owner()!;
+  c.cutFromWorkers.add(cut);
+  c.net.fate = (from, addr) => (from === cut && addr.startsWith('10.1.') ? 'silent' : 'deliver');
+  assert.ok(await c.clock.until(() => owner() !== undefined && owner() !== cut, 12_000), 'handed over');
+  const fresh = c.addWorker('c8', 'a');
+  const next = [...c.nodes.keys()].find((n) => n !== cut)!;
+  machines[0]!.end('wk-1/0', 'done');
+  assert.ok(await c.submit(next, job('wk-2', { cpus: 8 })));
+  assert.ok(await started(c, 'wk-2/0', 15_000));
+  await c.clock.advance(30_000);
+  assert.notEqual(owner(), cut, 'no way back while the cut lasts');
+  c.cutFromWorkers.clear();
+  c.net.fate = () => 'deliver';
+  assert.ok(await c.clock.until(() => owner() === cut, 60_000), 'and home again after it');
+  await c.clock.advance(5000);
+  assert.ok(
+    machines.every((w) => w.shift === 1 && w.started.filter((p) => p.startsWith('wk-1')).length === 1),
+  );
+  assert.ok(machines.some((w) => w.on('wk-2/0')) || fresh.on('wk-2/0'));
+});
+
+test('an owner keeps its shard when the fault is the machines’', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  const machines = [1, 2, 3, 4].map(() => c.addWorker('c8', 'a'));
+  c.startNode('n0');
+  c.startNode('n1');
+  await c.clock.advance(8000);
+  const before = [0, 1].map((k) => JSON.stringify(c.state.value(`c/own/${k}`)));
+  for (const w of machines.slice(1)) c.silent.add(w);
+  c.net.fate = (_f, addr) => (machines.slice(1).some((w) => w.addr === addr) ? 'silent' : 'deliver');
+  await c.clock.advance(30_000);
+  assert.deepEqual(
+    [0, 1].map((k) => JSON.stringify(c.state.value(`c/own/${k}`))),
+    before,
+  );
+});
+
 test('an order held back is void once the machine has a newer token', async () => {
   const c = new FakeCluster(['n0']);
   const w = c.addWorker('c8', 'a');
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -56,6 +56,8 @@
   /** Which node each worker reports to. */
   private readonly reportsTo = new Map<FakeWorker, string>();
   readonly silent = new Set<FakeWorker>();
+  /** Nodes that no worker reaches, while all else does. */
+  readonly cutFromWorkers = new Set<string>();
   capacity = false;
   cloudDown = false;
   /** Machines that the list still shows although they are gone. */
@@ -179,7 +181,7 @@
     const next = this.names[(this.names.indexOf(at) + 1) % this.names.length]!;
     const running = this.nodes.get(at);
     const sent = this.clock.now();
-    if (!running || running.cut) {
+    if (!running || running.cut || this.cutFromWorkers.has(at)) {
       this.reportsTo.set(w, next);
       return;
     }
