--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -22,7 +22,7 @@
     } catch (error) {
       if (error instanceof Unavailable || error instanceof StateFailure) {
         this.world.log.debug({ path: request.path, error: error.message }, 'not now');
-        return later(503, 1, error.message);
+        return later(503, error instanceof Unavailable ? error.retryS : 1, error.message);
       }
       throw error;
     }
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -3,7 +3,7 @@
 import type { Endpoint, Peer } from '../config/settings.js';
 import { encodeFrame, FrameReader, type PeerMessage } from './frames.js';
 
-/** The other node answered that it cannot do it. */
+/** The other node answered that it cannot do it, or is there and does not answer in time: it is not to be asked again. */
 export class Answered extends Error {}
 
 export type PeerHandler = (op: string, args: unknown, from: string) => Promise<unknown> | unknown;
@@ -31,6 +31,7 @@
   private socket: net.Socket | null = null;
   private ready = false;
   private next = 1;
+  private heardAt = Number.NEGATIVE_INFINITY;
   private readonly pending = new Map<number, Pending>();
 
   constructor(
@@ -48,8 +49,14 @@
         return;
       }
       const id = this.next++;
+      const asked = this.clock.now();
       const timer = this.clock.after(timeoutMs, () => {
         this.pending.delete(id);
+        // A node that answers others is only slow. To ask it once more in another way would make it slower still.
+        if (this.heardAt > asked) {
+          reject(new Answered(`${this.peer.node} is busy`));
+          return;
+        }
         reject(new Error(`${this.peer.node} does not answer`));
         // A cut may hold packets for minutes; a new connection finds out sooner that it is over.
         this.socket?.destroy();
@@ -84,6 +91,7 @@
       this.write({ op: 'hello', a: this.self });
     });
     socket.on('data', (data) => {
+      this.heardAt = this.clock.now();
       try {
         for (const m of reader.feed(data)) if ('r' in m) this.settle(m);
       } catch {
--- a/src/shards/gossip.ts
+++ b/src/shards/gossip.ts
@@ -9,30 +9,33 @@
   images: v.array(v.string()),
 });
 
+const need = v.object({
+  types: v.nullable(v.array(v.string())),
+  zone: v.nullable(v.string()),
+  spot: v.boolean(),
+  cpus: v.number(),
+  gpus: v.number(),
+  memoryGb: v.number(),
+  count: v.number(),
+  priority: v.number(),
+  /** Within what its team is guaranteed. */
+  guaranteed: v.boolean(),
+  deadline: v.number(),
+  waitS: v.number(),
+});
+
 const gossip = v.object({
   shard: v.number(),
   node: v.string(),
   /** Where the owner is. */
   zone: v.string(),
+  /** How long all of the shard's machines would take for the urgent work that waits. */
+  urgentS: v.number(),
+  machines: v.number(),
   spares: v.array(spare),
   /** Machines that hold nothing above a priority. */
   soft: v.array(v.object({ ...spare.entries, top: v.number() })),
-  needs: v.array(
-    v.object({
-      types: v.nullable(v.array(v.string())),
-      zone: v.nullable(v.string()),
-      spot: v.boolean(),
-      cpus: v.number(),
-      gpus: v.number(),
-      memoryGb: v.number(),
-      count: v.number(),
-      priority: v.number(),
-      /** Within what its team is guaranteed. */
-      guaranteed: v.boolean(),
-      deadline: v.number(),
-      waitS: v.number(),
-    }),
-  ),
+  needs: v.array(need),
 });
 
 export type Gossip = v.InferOutput<typeof gossip>;
@@ -43,3 +46,8 @@
   const p = v.safeParse(gossip, value);
   return p.success ? p.output : null;
 }
+
+export function readNeed(value: unknown): Need | null {
+  const p = v.safeParse(need, value);
+  return p.success ? p.output : null;
+}
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -26,6 +26,12 @@
 /** Lesser work elsewhere is stopped for urgent tasks only when they would wait longer than this, one machine at a time. */
 const CLEAR_WAIT_S = 8;
 const CLEAR_PAUSE_MS = 700;
+/** A machine is ceded where urgent work waits at least so long, and so much longer than in the shard that cedes it. */
+const CEDE_LEAST_S = 15;
+const CEDE_FACTOR = 1.5;
+const CEDE_MARGIN_S = 8;
+const CEDE_PAUSE_MS = 700;
+const CEDE_KEEPS = 3;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
 const STRAY_GRACE_MS = 400;
 const BOOTING_GRACE_MS = 8000;
@@ -55,6 +61,7 @@
       to: number,
       priority: number,
     ) => Promise<boolean>,
+    private readonly cede: (shard: number, to: number, need: Need, zone: string) => Promise<boolean>,
   ) {}
 
   start(): void {
@@ -271,6 +278,11 @@
       this.given.set(m.machine, now);
       void this.giveAway(m.from, m.machine, m.to).catch(() => undefined);
     }
+    const ceding = now - this.cededAt < CEDE_PAUSE_MS ? null : chooseCeding(fresh);
+    if (ceding && counts[ceding.to]! < most) {
+      this.cededAt = now;
+      void this.cede(ceding.from, ceding.to, ceding.need, ceding.zone).catch(() => undefined);
+    }
     if (now - this.clearedAt < CLEAR_PAUSE_MS) return;
     const clear = chooseClearing(fresh, sizeOf);
     if (!clear || this.given.has(clear.machine)) return;
@@ -280,6 +292,27 @@
   }
 
   private clearedAt = Number.NEGATIVE_INFINITY;
+  private cededAt = Number.NEGATIVE_INFINITY;
+}
+
+/**
+ * From which shard to which a machine should go as its tasks end, where urgent work waits much longer in one than in
+ * another: on full days no machine is ever empty, and shards would stay as they were parted.
+ */
+export function chooseCeding(
+  told: readonly Gossip[],
+): { from: number; to: number; need: Need; zone: string } | null {
+  let to: Gossip | null = null;
+  for (const g of told) if (!to || g.urgentS > to.urgentS) to = g;
+  const need = to?.needs.find((n) => n.priority >= PRIORITY.high);
+  if (!to || !need || to.urgentS < CEDE_LEAST_S) return null;
+  let from: Gossip | null = null;
+  for (const g of told) {
+    if (g.shard === to.shard || g.machines < CEDE_KEEPS) continue;
+    if (!from || g.urgentS < from.urgentS) from = g;
+  }
+  if (!from || from.urgentS * CEDE_FACTOR + CEDE_MARGIN_S > to.urgentS) return null;
+  return { from: from.shard, to: to.shard, need, zone: to.zone };
 }
 
 export interface Move {
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -5,7 +5,7 @@
 import type { Entry } from '../wire/state.js';
 import type { JobSpec } from '../wire/users.js';
 import { type Report, WORKER_PATHS } from '../wire/workers.js';
-import { readGossip } from './gossip.js';
+import { type Need, readGossip, readNeed } from './gossip.js';
 import { KEYS, readMachineRecord, readTeams } from './keys.js';
 import { Leader, type Stray } from './leader.js';
 import { Mailbox } from './mailbox.js';
@@ -341,6 +341,7 @@
       () => this.members.valid,
       (shard, machine, to) => this.giveAway(shard, machine, to),
       (shard, machine, to, priority) => this.vacate(shard, machine, to, priority),
+      (shard, to, need, zone) => this.cede(shard, to, need, zone),
     );
     this.leader.start();
     this.leader.listed(this.world.catalog.listed);
@@ -426,6 +427,14 @@
     return (await this.mesh?.ask(owner.node, 'vacate', { shard, machine, to, priority }, ASK_MS)) === true;
   }
 
+  private async cede(shard: number, to: number, need: Need, zone: string): Promise<boolean> {
+    const local = this.shards.get(shard);
+    if (local) return local.cede(to, need, zone);
+    const owner = this.members.owner(shard);
+    if (!owner) return false;
+    return (await this.mesh?.ask(owner.node, 'cede', { shard, to, need, zone }, ASK_MS)) === true;
+  }
+
   /** What another controller asks. */
   async serve(op: string, args: unknown): Promise<unknown> {
     const a = (typeof args === 'object' && args !== null ? args : {}) as Record<string, unknown>;
@@ -449,6 +458,11 @@
         const shard = this.shards.get(Number(a.shard));
         return shard ? shard.vacate(String(a.machine), Number(a.to), Number(a.priority)) : false;
       }
+      case 'cede': {
+        const shard = this.shards.get(Number(a.shard));
+        const need = readNeed(a.need);
+        return shard && need ? shard.cede(Number(a.to), need, String(a.zone)) : false;
+      }
       case 'submit': {
         const spec = readSpec(a.spec);
         if (!spec) throw new Error('bad job');
--- a/src/shards/preemption.ts
+++ b/src/shards/preemption.ts
@@ -1,10 +1,11 @@
 import type { Log } from '../config/log.js';
 import { type Job, openCount } from '../jobs/job.js';
 import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
-import type { Amounts } from '../plan/profile.js';
+import { type Amounts, fitCount } from '../plan/profile.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet } from '../workers/fleet.js';
 import type { Held, Machine } from '../workers/machine.js';
+import type { Need } from './gossip.js';
 import type { World } from './world.js';
 
 /** Room is not made twice for a job within the pause, and not looked for again at once when there is none to be made. */
@@ -12,6 +13,9 @@
 const PREEMPT_AGAIN_MS = 1500;
 /** A machine promised to another shard is cleared by then, or kept. */
 const PROMISE_MS = 15_000;
+/** A machine is ceded when its tasks end within this, and so many at a time. */
+const CEDE_WITHIN_MS = 20_000;
+const CEDED_AT_ONCE = 6;
 /** So many waiting jobs are looked at in one plan when room is made for urgent work. */
 const PREEMPT_JOBS = 6;
 
@@ -30,7 +34,7 @@
 /** Stops lesser work for more urgent work, in a shard and for other shards. */
 export class Preemption {
   /** Machines that are being cleared for other shards. */
-  readonly promised = new Map<string, { to: number; until: number }>();
+  readonly promised = new Map<string, { to: number; until: number; ceded?: boolean }>();
   private readonly preemptedAt = new Map<string, number>();
 
   constructor(
@@ -129,6 +133,44 @@
     return true;
   }
 
+  /**
+   * Promises the machine that is empty soonest to a shard where urgent work waits longer: nothing is stopped, but nothing
+   * more starts there.
+   */
+  cede(to: number, need: Need, zone: string, endOf: (h: Held) => number): boolean {
+    if (!this.hooks.ready()) return false;
+    const now = this.world.clock.now();
+    const { types, zones } = this.world.names;
+    let promises = 0;
+    for (const p of this.promised.values()) if (p.ceded) promises++;
+    if (promises >= CEDED_AT_ONCE) return false;
+    let best: { m: Machine; cost: number } | null = null;
+    for (const m of this.fleet.machines.values()) {
+      if (!m.synced || m.leaving || m.lost || m.unknown || m.noticeUntil !== null || m.closedUntil > now)
+        continue;
+      if (this.promised.has(m.id) || this.hooks.moving(m.id)) continue;
+      if (need.types && !need.types.includes(types.name(m.type))) continue;
+      if ((m.spot && !need.spot) || (need.zone !== null && need.zone !== zones.name(m.zone))) continue;
+      const size = this.world.catalog.size(m.type);
+      if (fitCount(size, need, 1) === 0) continue;
+      let end = now;
+      for (const h of m.held.values()) if (h.state !== 'exited') end = Math.max(end, endOf(h));
+      if (end > now + CEDE_WITHIN_MS) continue;
+      // Machines without unneeded GPUs and in the zone of the other shard's owner first.
+      const cost =
+        end -
+        now +
+        (need.gpus === 0 && size.gpus > 0 ? 10_000 : 0) +
+        (zones.name(m.zone) === zone ? 0 : 5000);
+      if (!best || cost < best.cost) best = { m, cost };
+    }
+    if (!best) return false;
+    this.promised.set(best.m.id, { to, until: now + CEDE_WITHIN_MS * 2, ceded: true });
+    this.log.info({ machine: best.m.id, to, held: best.m.held.size }, 'ceding a machine to another shard');
+    this.hooks.stir();
+    return true;
+  }
+
   /** Whether all that a machine holds may be stopped for work of a priority. */
   softTo(m: Machine, priority: number): boolean {
     if (!m.synced || m.leaving || m.lost || m.unknown || m.noticeUntil !== null || m.held.size === 0)
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -20,7 +20,7 @@
 import { Fleet, type GoneWhy } from '../workers/fleet.js';
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import { Blame } from './blame.js';
-import type { Gossip } from './gossip.js';
+import type { Gossip, Need } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
 import { Preemption } from './preemption.js';
 import { Starts } from './starts.js';
@@ -28,7 +28,15 @@
 import type { World } from './world.js';
 
 /** This node cannot answer now; the same request may be sent again. */
-export class Unavailable extends Error {}
+export class Unavailable extends Error {
+  constructor(
+    message: string,
+    /** When to come back. */
+    readonly retryS = 1,
+  ) {
+    super(message);
+  }
+}
 
 export interface StatusAnswer {
   status: JobStatus;
@@ -62,10 +70,13 @@
 const BOOK_ANEW_SHARE = 20;
 /** What a plan may cost in looks at machines; what comes after in order is only started where there is room now. */
 const LOOKS_MOST = 150_000;
+/** A new job is turned away when it would wait longer than this to be stored. */
+const ACCEPT_WAIT_MS = 700;
+const ACCEPT_BACK_MOST_S = 5;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
 /** Completed tasks of a job are stored no more often than this, until the last one. */
-const GATHER_MS = 800;
+const GATHER_MS = 2000;
 const GATHER_STEP_MS = 100;
 const ENDED_KEPT = 5000;
 /** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
@@ -548,6 +559,14 @@
 
   async submit(spec: JobSpec): Promise<SubmitAnswer> {
     this.check();
+    // More submissions than the state service takes are told at once to come back: waiting here until their users have
+    // given up, they would be stored for nobody, and sent once more.
+    const delay = this.world.store.delayMs;
+    if (!this.known(spec.id) && delay > ACCEPT_WAIT_MS)
+      throw new Unavailable(
+        'too many changes at once',
+        Math.min(ACCEPT_BACK_MOST_S, Math.ceil(delay / 1000)),
+      );
     return this.mutex(spec.id).runExclusive(async (): Promise<SubmitAnswer> => {
       const known = this.known(spec.id);
       if (known) return { kind: 'known', status: known.status };
@@ -1079,6 +1098,29 @@
     this.supply.order(short, now);
   }
 
+  /** How long the machines of this shard would take for the urgent work that waits. */
+  private urgentS(): number {
+    let work = 0;
+    const now = this.world.clock.now();
+    for (const job of this.jobs.values()) {
+      if (job.spec.priority < PRIORITY.high || job.spec.kind === 'service' || job.notBefore > now) continue;
+      if (job.spec.kind === 'gang' && job.places.size > 0) continue;
+      work += openCount(job) * job.need.cpus * this.runS(job.spec);
+    }
+    if (work === 0) return 0;
+    let cpus = 0;
+    for (const m of this.fleet.machines.values()) {
+      if (!m.leaving && !m.lost && m.closedUntil <= now) cpus += this.world.catalog.size(m.type).cpus;
+    }
+    return Math.min(1e6, work / Math.max(1, cpus));
+  }
+
+  /** Promises a machine whose tasks end soon to a shard where urgent work waits longer. False when there is none. */
+  cede(to: number, need: Need, zone: string): boolean {
+    const now = this.world.clock.now();
+    return this.preemption.cede(to, need, zone, (h) => this.heldEnd(h, now));
+  }
+
   private need(job: Job, count: number, waitS: number): Gossip['needs'][number] {
     return {
       types: job.spec.types,
@@ -1171,6 +1213,8 @@
       shard: this.index,
       node,
       zone: this.world.settings.zone,
+      urgentS: this.urgentS(),
+      machines: this.fleet.machines.size,
       spares,
       soft: soft.slice(0, 30),
       needs: this.needs.slice(0, 20),
--- a/src/state/limiter.ts
+++ b/src/state/limiter.ts
@@ -55,6 +55,13 @@
     this.perSecond = Math.min(this.most, this.perSecond * GROWTH);
   }
 
+  /** How long a request that comes now would wait for its turn. */
+  get delayMs(): number {
+    this.refill();
+    const queued = this.waiting.reduce((sum, w) => sum + w.amount, 0);
+    return Math.max(0, ((queued - this.level) * 1000) / this.perSecond);
+  }
+
   /** True when nothing waits and there is room for `amount` now. */
   free(amount: number): boolean {
     this.refill();
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -39,7 +39,7 @@
 const REFUSED_PAUSE_MS = 150;
 const REFUSED_MOST_MS = 1500;
 /** The most that one node takes of the rates while the others need less. */
-const MOST_OF_ALL = 0.6;
+const MOST_OF_ALL = 0.7;
 /** Of a node's part of the rate, what users' questions may take, and how long one waits for its turn. */
 const QUESTIONS_SHARE = 0.4;
 const QUESTION_WAIT_MS = 400;
@@ -68,6 +68,11 @@
     this.questions = new Limiter(clock, asked, asked, limits.rps * most * QUESTIONS_SHARE);
   }
 
+  /** How long a change that comes now would wait for this node's part of the rate. */
+  get delayMs(): number {
+    return Math.max(this.requests.delayMs, this.changes.delayMs);
+  }
+
   /**
    * A read for a user's question. Many users may ask at once, also for jobs that nobody has submitted: those who wait
    * for their turn with the same key share a read, and all reads take no more than a part of this node's rate, so that
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -4,7 +4,7 @@
 import { Plan, type PlanJob, type PlanMachine } from '../src/plan/plan.js';
 import { chooseVictims } from '../src/plan/preempt.js';
 import { chooseRental } from '../src/plan/rent.js';
-import { matchSpares, partTeams, shardFor } from '../src/shards/leader.js';
+import { chooseCeding, matchSpares, partTeams, shardFor } from '../src/shards/leader.js';
 import type { JobSpec } from '../src/wire/users.js';
 
 const size = { cpus: 8, gpus: 0, memoryGb: 32 };
@@ -172,12 +172,24 @@
     shard,
     node: 'n',
     zone: 'a',
+    urgentS: 0,
+    machines: 10,
     soft: [],
     spares: spares.map(spare),
     needs: priorities.map(need),
   });
   const moves = matchSpares([told(0, ['m-1'], []), told(1, ['m-2'], [1]), told(2, [], [2])], sizeOf);
   assert.deepEqual(moves, [{ machine: 'm-1', from: 0, to: 2 }]);
+  // Full shards: a machine goes, as its tasks end, from where urgent work waits least to where it waits much longer.
+  const full = (shard: number, urgentS: number, machines = 10) => ({
+    ...told(shard, [], [2]),
+    urgentS,
+    machines,
+  });
+  const ceding = chooseCeding([full(0, 12), full(1, 60), full(2, 0, 1)]);
+  assert.deepEqual([ceding?.from, ceding?.to], [0, 1]);
+  assert.equal(chooseCeding([full(0, 45), full(1, 60)]), null, 'not to and fro where both wait');
+  assert.equal(chooseCeding([full(0, 0), full(1, 10)]), null);
 });
 
 // Guards against a shard whose machines lie in a zone that its owner cannot reach: in a cut between zones they all lost
