--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -22,7 +22,7 @@
     } catch (error) {
       if (error instanceof Unavailable || error instanceof StateFailure) {
         this.world.log.debug({ path: request.path, error: error.message }, 'not now');
-        return later(503, error instanceof Unavailable ? error.retryS : 1, error.message);
+        return later(503, 1, error.message);
       }
       throw error;
     }
@@ -69,6 +69,7 @@
     }
     const answer = await this.node.submit(spec);
     if (answer.kind === 'refused') return later(429, answer.retryS, 'no plan meets the deadline');
+    if (answer.kind === 'busy') return later(503, answer.retryS, 'too many new jobs at once');
     if (answer.kind === 'accepted') return { status: 201, body: writeAccepted(spec.id, 'queued') };
     return { status: 200, body: writeAccepted(spec.id, answer.status) };
   }
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -27,10 +27,10 @@
 const CLEAR_WAIT_S = 8;
 const CLEAR_PAUSE_MS = 700;
 /** A machine is ceded where urgent work waits at least so long, and so much longer than in the shard that cedes it. */
-const CEDE_LEAST_S = 15;
-const CEDE_FACTOR = 1.5;
-const CEDE_MARGIN_S = 8;
-const CEDE_PAUSE_MS = 700;
+const CEDE_LEAST_S = 12;
+const CEDE_FACTOR = 1.25;
+const CEDE_MARGIN_S = 6;
+const CEDE_PAUSE_MS = 300;
 const CEDE_KEEPS = 3;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
 const STRAY_GRACE_MS = 400;
--- a/src/shards/preemption.ts
+++ b/src/shards/preemption.ts
@@ -15,7 +15,7 @@
 const PROMISE_MS = 15_000;
 /** A machine is ceded when its tasks end within this, and so many at a time. */
 const CEDE_WITHIN_MS = 20_000;
-const CEDED_AT_ONCE = 6;
+const CEDED_AT_ONCE = 12;
 /** So many waiting jobs are looked at in one plan when room is made for urgent work. */
 const PREEMPT_JOBS = 6;
 
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -25,18 +25,11 @@
 import { Preemption } from './preemption.js';
 import { Starts } from './starts.js';
 import { kindKey, Supply } from './supply.js';
+import { Turns } from './turns.js';
 import type { World } from './world.js';
 
 /** This node cannot answer now; the same request may be sent again. */
-export class Unavailable extends Error {
-  constructor(
-    message: string,
-    /** When to come back. */
-    readonly retryS = 1,
-  ) {
-    super(message);
-  }
-}
+export class Unavailable extends Error {}
 
 export interface StatusAnswer {
   status: JobStatus;
@@ -47,7 +40,9 @@
 export type SubmitAnswer =
   | { kind: 'accepted' }
   | { kind: 'known'; status: JobStatus }
-  | { kind: 'refused'; retryS: number };
+  | { kind: 'refused'; retryS: number }
+  /** Cannot be stored at present. */
+  | { kind: 'busy'; retryS: number };
 
 interface Ended {
   status: 'done' | 'cancelled';
@@ -72,7 +67,8 @@
 const LOOKS_MOST = 150_000;
 /** A new job is turned away when it would wait longer than this to be stored. */
 const ACCEPT_WAIT_MS = 700;
-const ACCEPT_BACK_MOST_S = 5;
+/** New jobs for each change that the state service takes: two to accept one, and some for what else goes on. */
+const JOBS_PER_CHANGE = 0.35;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
 /** Completed tasks of a job are stored no more often than this, until the last one. */
@@ -93,6 +89,7 @@
   private readonly preemption: Preemption;
   private readonly starts: Starts;
   private readonly blame: Blame;
+  private readonly turns: Turns;
   readonly jobs = new Map<string, Job>();
   private readonly ended = new Map<string, Ended>();
   private readonly records: JobRecords;
@@ -135,6 +132,7 @@
       gone: (h, why) => this.gone(h, why),
       stir: () => this.stir(),
     });
+    this.turns = new Turns(world.clock);
     this.blame = new Blame(this.jobs, this.fleet.machines, this.log);
     this.starts = new Starts(world, term, this.fleet, this.jobs, this.log, {
       useOf: (h) => this.useOf(h),
@@ -561,12 +559,8 @@
     this.check();
     // More submissions than the state service takes are told at once to come back: waiting here until their users have
     // given up, they would be stored for nobody, and sent once more.
-    const delay = this.world.store.delayMs;
-    if (!this.known(spec.id) && delay > ACCEPT_WAIT_MS)
-      throw new Unavailable(
-        'too many changes at once',
-        Math.min(ACCEPT_BACK_MOST_S, Math.ceil(delay / 1000)),
-      );
+    if (!this.known(spec.id) && this.world.store.delayMs > ACCEPT_WAIT_MS)
+      return { kind: 'busy', retryS: this.turns.take(this.world.store.changesPerSecond * JOBS_PER_CHANGE) };
     return this.mutex(spec.id).runExclusive(async (): Promise<SubmitAnswer> => {
       const known = this.known(spec.id);
       if (known) return { kind: 'known', status: known.status };
@@ -1071,6 +1065,7 @@
       slot(u.job).waitS = 600;
     }
     const usage = this.starts.teamUsage();
+    const { adopted } = this;
     const needs: Gossip['needs'] = [];
     const short: Shortage[] = [];
     for (const id of [...this.shortSince.keys()]) {
@@ -1090,7 +1085,10 @@
       if (use) addTimes(use, job.need, soon);
       const since = this.shortSince.get(job.spec.id) ?? now;
       this.shortSince.set(job.spec.id, since);
-      const late = Math.min(w.late, cap);
+      // Tasks that wait for their team's limit start no sooner on more machines: what starts in time takes of it first.
+      const late = Math.min(w.late, cap - (w.soon - w.late));
+      // What an earlier owner may have started, and may well still run, needs no machine before that is known.
+      if (!job.fresh && !adopted) continue;
       if (late <= 0 || now - since < RENT_AFTER_MS) continue;
       short.push({ types: job.types, zone: job.zone, spot: job.spec.spot, need: job.need, count: late });
     }
--- a/src/state/limiter.ts
+++ b/src/state/limiter.ts
@@ -55,6 +55,10 @@
     this.perSecond = Math.min(this.most, this.perSecond * GROWTH);
   }
 
+  get rate(): number {
+    return this.perSecond;
+  }
+
   /** How long a request that comes now would wait for its turn. */
   get delayMs(): number {
     this.refill();
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -73,6 +73,11 @@
     return Math.max(this.requests.delayMs, this.changes.delayMs);
   }
 
+  /** How many changes this node may make a second at present. */
+  get changesPerSecond(): number {
+    return this.changes.rate;
+  }
+
   /**
    * A read for a user's question. Many users may ask at once, also for jobs that nobody has submitted: those who wait
    * for their turn with the same key share a read, and all reads take no more than a part of this node's rate, so that
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -222,6 +222,38 @@
   );
 });
 
+// Guards against new jobs that wait for their turn to be stored until their users have given up, and then come again: a
+// swarm of one-task jobs took all of the state service's rate that way (recorded day inc-05ed).
+test('more new jobs than can be stored are told at once when to come back, each at a turn of its own', async () => {
+  const c = new FakeCluster(['n0']);
+  c.stateRates = { rps: 100, writeRps: 10 };
+  c.addWorker('c8', 'a');
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-0')));
+  await c.clock.advance(3000);
+  const begun = c.clock.now();
+  const answers: { status: number; after: number; back: number }[] = [];
+  for (let i = 1; i <= 60; i++) {
+    void c.nodes
+      .get('n0')!
+      .api.handle(c.request('POST', '/api/jobs', job(`wk-${i}`, { cpus: 0.1, memoryGb: 0.1 })))
+      .then((r) => {
+        const back = Number(r.headers?.['Retry-After'] ?? 0);
+        answers.push({ status: r.status, after: c.clock.now() - begun, back });
+      });
+    await c.clock.advance(10);
+  }
+  await c.clock.advance(4000);
+  assert.equal(answers.length, 60);
+  const away = answers.filter((a) => a.status === 503);
+  const taken = answers.filter((a) => a.status === 201).length;
+  assert.ok(taken >= 5 && taken + away.length === 60, `${taken} taken, ${away.length} sent away`);
+  assert.ok(away.every((a) => a.after < 1000 && a.back >= 1));
+  assert.ok(new Set(away.map((a) => a.back)).size >= 10, 'spread over time');
+  const stored = [...c.state.items.keys()].filter((k) => k.startsWith('job/')).length;
+  assert.equal(stored, taken + 1);
+});
+
 test('an order held back is void once the machine has a newer token', async () => {
   const c = new FakeCluster(['n0']);
   const w = c.addWorker('c8', 'a');
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -2,7 +2,7 @@
 import { Api } from '../../src/api/routes.js';
 import { Cloud } from '../../src/cloud/cloud.js';
 import type { Settings } from '../../src/config/settings.js';
-import type { HttpReply } from '../../src/http/server.js';
+import type { HttpReply, HttpRequest } from '../../src/http/server.js';
 import type { Mesh } from '../../src/peer/mesh.js';
 import { ControllerNode } from '../../src/shards/node.js';
 import { Catalog, Names, type World } from '../../src/shards/world.js';
@@ -59,6 +59,7 @@
   /** Nodes that no worker reaches, while all else does. */
   readonly cutFromWorkers = new Set<string>();
   capacity = false;
+  stateRates = { rps: 600, writeRps: 300 };
   cloudDown = false;
   /** Machines that the list still shows although they are gone. */
   readonly ghosts: FakeWorker[] = [];
@@ -113,7 +114,7 @@
       goneMachines: new Map(),
       run: `${name}-${++this.runs}`,
     };
-    world.store = new StateStore(clock, world.http, STATE, { rps: 600, writeRps: 300, nodes: 1 });
+    world.store = new StateStore(clock, world.http, STATE, { ...this.stateRates, nodes: 1 });
     world.cloud = new Cloud(clock, world.http, CLOUD, 30, 1);
     const node = new ControllerNode(world);
     const running: Running = { node, api: new Api(world, node), cut: false, stopped };
@@ -128,20 +129,22 @@
     this.nodes.delete(name);
   }
 
+  request(method: string, path: string, body: object | null = null): HttpRequest {
+    return {
+      method,
+      path,
+      query: new URLSearchParams(),
+      headers: new Map(),
+      body: Buffer.from(body === null ? '' : JSON.stringify(body)),
+    };
+  }
+
   async call(node: string, method: string, path: string, body: object | null = null): Promise<HttpReply> {
     const running = this.nodes.get(node)!;
     let reply: HttpReply | null = null;
-    void running.api
-      .handle({
-        method,
-        path,
-        query: new URLSearchParams(),
-        headers: new Map(),
-        body: Buffer.from(body === null ? '' : JSON.stringify(body)),
-      })
-      .then((r) => {
-        reply = r;
-      });
+    void running.api.handle(this.request(method, path, body)).then((r) => {
+      reply = r;
+    });
     await this.clock.until(() => reply !== null, 6000);
     return reply ?? { status: 504 };
   }
