--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -229,6 +229,32 @@
     return finish;
   }
 
+  /**
+   * Of bookings that start late, how many tasks could start by `by` on no machine there is. A task goes to the most loaded
+   * machine that meets its deadline, so it may be booked for late while others boot or stand empty: only the rest is a
+   * reason to rent. All bookings stay as they are.
+   */
+  shortOf(groups: readonly { job: PlanJob; bookings: readonly Booking[]; by: number }[]): number[] {
+    const mark = this.bookings.length;
+    const lifted: Booking[] = [];
+    const short = groups.map(({ job, bookings, by }) => {
+      // A gang is booked as early as it fits anywhere.
+      if (job.kind === 'gang') return bookings.length;
+      for (const b of bookings) {
+        this.lift(b);
+        lifted.push(b);
+      }
+      const before = this.bookings.length;
+      this.book({ ...job, tasks: bookings.map((b) => b.task), deadline: Number.NEGATIVE_INFINITY });
+      let inTime = 0;
+      for (let i = before; i < this.bookings.length; i++) if (this.bookings[i]!.start <= by) inTime++;
+      return bookings.length - inTime;
+    });
+    this.undo(mark);
+    for (const b of lifted) this.put(b);
+    return short;
+  }
+
   /** Takes back all bookings made since there were `mark` of them. */
   undo(mark: number): void {
     while (this.bookings.length > mark) this.lift(this.bookings.pop()!);
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -10,7 +10,14 @@
   withinGuarantee,
 } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
-import { type HeldBooking, type KeptPlace, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
+import {
+  type Booking,
+  type HeldBooking,
+  type KeptPlace,
+  Plan,
+  type PlanJob,
+  type PlanMachine,
+} from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import type { RentOption, Shortage } from '../plan/rent.js';
 import { StateFailure } from '../state/store.js';
@@ -1033,13 +1040,17 @@
     byOrder: Map<number, Job>,
     now: number,
   ): void {
-    const waiting = new Map<Job, { soon: number; late: number; waitS: number; bootS: number }>();
+    const waiting = new Map<
+      Job,
+      { soon: number; late: number; lateOnes: Booking[]; waitS: number; bootS: number }
+    >();
     const slot = (job: Job) => {
       let w = waiting.get(job);
       if (!w) {
         w = {
           soon: 0,
           late: 0,
+          lateOnes: [],
           waitS: 0,
           bootS: this.shortestBoot(job),
         };
@@ -1054,7 +1065,10 @@
       const w = slot(job);
       w.soon++;
       w.waitS = Math.max(w.waitS, b.start - t);
-      if (b.start > t + w.bootS * 1.1 + 2) w.late++;
+      if (b.start > t + w.bootS * 1.1 + 2) {
+        w.late++;
+        w.lateOnes.push(b);
+      }
     }
     const bookings = new Map<number, number>();
     for (const b of plan.bookings) bookings.set(b.job.id, (bookings.get(b.job.id) ?? 0) + 1);
@@ -1064,6 +1078,15 @@
       slot(u.job).late += n;
       slot(u.job).waitS = 600;
     }
+    if (this.supply.mayRent(now)) {
+      const groups = [...waiting].filter(([, w]) => w.lateOnes.length > 0);
+      const short = plan.shortOf(
+        groups.map(([, w]) => ({ job: w.lateOnes[0]!.job, bookings: w.lateOnes, by: t + w.bootS * 1.1 + 2 })),
+      );
+      groups.forEach(([, w], i) => {
+        w.late -= w.lateOnes.length - short[i]!;
+      });
+    }
     const usage = this.starts.teamUsage();
     const { adopted } = this;
     const needs: Gossip['needs'] = [];
--- a/src/shards/supply.ts
+++ b/src/shards/supply.ts
@@ -79,6 +79,16 @@
     return { key: KEYS.owner(this.index), version: this.term };
   }
 
+  /** Whether anything could be rented now. */
+  mayRent(now: number): boolean {
+    return (
+      this.rentals.size < MAX_PENDING_RENTALS &&
+      now >= this.cloudPause.until &&
+      this.fleet.machines.size < mostMachines(this.world.settings.limits.maxSockets) &&
+      this.options(now).length > 0
+    );
+  }
+
   /** Rents for tasks that would wait too long, the first shortage first. */
   order(short: Shortage[], now: number): void {
     const places = MAX_PENDING_RENTALS - this.rentals.size;
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -254,6 +254,22 @@
   assert.equal(stored, taken + 1);
 });
 
+// Guards against renting for tasks that are booked for late on a loaded machine while others boot, and for tasks that
+// wait for their team's limit: every plan rented once more until nothing was to be had.
+test('no more machines are rented than tasks can use, however long they boot', async () => {
+  const c = new FakeCluster(['n0']);
+  c.capacity = true;
+  c.startNode('n0');
+  await c.clock.advance(6000);
+  // Of 20 tasks the team's limit allows four at once, each as large as a machine.
+  assert.ok(await c.submit('n0', job('wk-1', { pieces: 20, cpus: 8 })));
+  await c.clock.advance(25_000);
+  assert.equal(
+    c.rented.reduce((sum, r) => sum + r.count, 0),
+    4,
+  );
+});
+
 test('an order held back is void once the machine has a newer token', async () => {
   const c = new FakeCluster(['n0']);
   const w = c.addWorker('c8', 'a');
