--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -54,7 +54,6 @@
   shard: number;
   final?: 'done' | 'cancelled';
   tasks?: number;
-  tag?: string;
 }
 
 export function jobStatus(job: Job): { status: JobStatus; done: number; running: number } {
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -28,13 +28,18 @@
   saveS: v.number(),
   deadlineS: v.nullable(v.number()),
 });
-const recordValue = v.object({ spec: specValue, accepted: v.number(), deadline: v.number() });
+const activeValue = v.object({ shard: v.number(), tag: v.string() });
+const recordValue = v.object({
+  ...activeValue.entries,
+  spec: specValue,
+  accepted: v.number(),
+  deadline: v.number(),
+});
 const chunkValue = v.object({ done: v.string() });
 const entryValue = v.object({
   shard: v.number(),
   final: v.optional(v.picklist(['done', 'cancelled'])),
   tasks: v.optional(v.number()),
-  tag: v.optional(v.string()),
 });
 
 export function readJobEntry(value: unknown): JobEntry | null {
@@ -42,6 +47,12 @@
   return p.success ? p.output : null;
 }
 
+/** Whose an unfinished job is. */
+function readActive(value: unknown): v.InferOutput<typeof activeValue> | null {
+  const p = v.safeParse(activeValue, value);
+  return p.success ? p.output : null;
+}
+
 export function readSpec(value: unknown): JobSpec | null {
   const p = v.safeParse(specValue, value);
   return p.success ? p.output : null;
@@ -79,33 +90,37 @@
     return result;
   }
 
-  async entry(id: string): Promise<Entry | null> {
-    return this.store.get(KEYS.job(id));
+  /** A job that was accepted once, by this shard or another; null when there is none. */
+  async entry(id: string): Promise<JobEntry | null> {
+    return findJob((key) => this.store.get(key), id);
   }
 
+  /**
+   * Stores a job that is accepted. It is one change, since a swarm of small jobs needs as many acceptances a second as
+   * the state service takes changes; that nobody else has accepted it, or it is over, are conditions.
+   */
   async accept(record: JobRecord, tag: string): Promise<Accepted> {
     const id = record.spec.id;
-    const entry: JobEntry = { shard: this.shard, tag };
-    let version: number | null = null;
+    const key = KEYS.activeJob(id);
+    const value = { ...record, shard: this.shard, tag };
     try {
       const result = await this.write(
-        [{ key: KEYS.job(id), version: 0 }],
         [
-          { put: KEYS.job(id), value: entry },
-          { put: KEYS.activeJob(this.shard, id), value: record },
+          { key, version: 0 },
+          { key: KEYS.job(id), version: 0 },
         ],
+        [{ put: key, value }],
       );
-      if (result.ok) version = result.revision;
+      if (result.ok) return { kind: 'accepted', version: result.revision };
     } catch (error) {
       // Nobody knows whether a write without an answer was made: only reading it back tells.
       if (!(error instanceof StateFailure) || !error.maybe) throw error;
     }
-    if (version !== null) return { kind: 'accepted', version };
-    const stored = await this.store.get(KEYS.job(id));
-    const known = stored && readJobEntry(stored.value);
-    if (!stored || !known) throw new StateFailure(`acceptance of ${id} is not decided`, true);
-    if (known.tag === tag && !known.final) return { kind: 'accepted', version: stored.version };
-    return { kind: 'known', entry: known };
+    const stored = await this.store.get(key);
+    if (stored && readActive(stored.value)?.tag === tag) return { kind: 'accepted', version: stored.version };
+    const entry = await this.entry(id);
+    if (!entry) throw new StateFailure(`acceptance of ${id} is not decided`, true);
+    return { kind: 'known', entry };
   }
 
   /** Stores the tasks that are done; false when it has to be tried again. */
@@ -113,7 +128,7 @@
     const chunks = [...job.dirtyChunks].slice(0, Math.max(1, this.limits.txnOps));
     const count = job.done.count;
     for (const n of chunks) job.dirtyChunks.delete(n);
-    const keys = chunks.map((n) => KEYS.chunk(this.shard, job.spec.id, n));
+    const keys = chunks.map((n) => KEYS.chunk(job.spec.id, n));
     try {
       const result = await this.write(
         chunks.map((n, i) => ({ key: keys[i]!, version: job.chunkVersions.get(n) ?? 0 })),
@@ -136,7 +151,7 @@
 
   private async refreshVersions(job: Job, chunks: number[]): Promise<void> {
     for (const n of chunks) {
-      const stored = await this.store.get(KEYS.chunk(this.shard, job.spec.id, n));
+      const stored = await this.store.get(KEYS.chunk(job.spec.id, n));
       if (stored) job.chunkVersions.set(n, stored.version);
     }
   }
@@ -145,12 +160,12 @@
   async finish(job: Job, final: 'done' | 'cancelled'): Promise<'done' | 'cancelled'> {
     const id = job.spec.id;
     const entry: JobEntry = { shard: this.shard, final, tasks: job.spec.tasks };
-    const writes: Write[] = [{ put: KEYS.job(id), value: entry }, { delete: KEYS.activeJob(this.shard, id) }];
-    for (const n of job.chunkVersions.keys()) writes.push({ delete: KEYS.chunk(this.shard, id, n) });
+    const writes: Write[] = [{ put: KEYS.job(id), value: entry }, { delete: KEYS.activeJob(id) }];
+    for (const n of job.chunkVersions.keys()) writes.push({ delete: KEYS.chunk(id, n) });
     try {
       // Condition on the active record: a late copy of this write finds it gone.
       const result = await this.write(
-        [{ key: KEYS.activeJob(this.shard, id), version: job.version }],
+        [{ key: KEYS.activeJob(id), version: job.version }],
         writes.slice(0, this.limits.txnOps),
       );
       if (result.ok) return final;
@@ -164,13 +179,14 @@
   }
 
   /** All unfinished jobs of the shard with their done tasks, as the state service has them. */
-  async load(prefix = KEYS.active(this.shard)): Promise<LoadedJob[]> {
+  async load(prefix = KEYS.active): Promise<LoadedJob[]> {
     const { entries } = await this.store.list(prefix);
     const byId = new Map<string, LoadedJob>();
     for (const e of entries) {
-      const [id, chunk] = e.key.slice(KEYS.active(this.shard).length).split('/');
+      const [id, chunk] = e.key.slice(KEYS.active.length).split('/');
       if (id === undefined) continue;
       if (chunk === undefined) {
+        if (readActive(e.value)?.shard !== this.shard) continue;
         const p = v.safeParse(recordValue, e.value);
         if (p.success) byId.set(id, { record: p.output, version: e.version, chunks: [] });
         continue;
@@ -183,11 +199,26 @@
 
   /** One unfinished job, when it is stored. */
   async loadOne(id: string): Promise<LoadedJob | null> {
-    const all = await this.load(KEYS.activeJob(this.shard, id));
+    const all = await this.load(KEYS.activeJob(id));
     return all.find((l) => l.record.spec.id === id) ?? null;
   }
 }
 
+/**
+ * Where a job is, or how it ended, as far as the state service knows; null when it was never accepted. A job that ends
+ * leaves the unfinished ones and enters the ended ones in one transaction, so it is found in this order at any moment.
+ */
+export async function findJob(
+  read: (key: string) => Promise<Entry | null>,
+  id: string,
+): Promise<JobEntry | null> {
+  const active = await read(KEYS.activeJob(id));
+  const found = active && readActive(active.value);
+  if (found) return { shard: found.shard };
+  const ended = await read(KEYS.job(id));
+  return ended && readJobEntry(ended.value);
+}
+
 export interface LoadedJob {
   record: JobRecord;
   version: number;
--- a/src/shards/keys.ts
+++ b/src/shards/keys.ts
@@ -13,10 +13,12 @@
   mail: 'c/mail/',
   teams: 'c/teams',
   types: 'c/types',
+  /** How a job ended; never deleted. */
   job: (id: string) => `job/${id}`,
-  active: (shard: number) => `act/${shard}/`,
-  activeJob: (shard: number, id: string) => `act/${shard}/${id}`,
-  chunk: (shard: number, id: string, chunk: number) => `act/${shard}/${id}/${chunk}`,
+  /** Unfinished jobs of all shards, and their done tasks. */
+  active: 'act/',
+  activeJob: (id: string) => `act/${id}`,
+  chunk: (id: string, chunk: number) => `act/${id}/${chunk}`,
 };
 
 const holder = v.object({
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -1,6 +1,6 @@
 import { pause } from '../clock/clock.js';
 import type { JobEntry } from '../jobs/job.js';
-import { readJobEntry, readSpec } from '../jobs/records.js';
+import { findJob, readSpec } from '../jobs/records.js';
 import { Answered, type Mesh } from '../peer/mesh.js';
 import type { Entry } from '../wire/state.js';
 import type { JobSpec } from '../wire/users.js';
@@ -151,12 +151,17 @@
     }
     const now = this.world.clock.now();
     const recent = this.world.settings.workers.leaseS * 1000;
+    const lately = this.world.settings.workers.reportS * 1250 + 500;
     let known = 0;
+    let coming = 0;
     for (const s of this.shards.values()) {
-      for (const m of s.fleet.machines.values())
-        if (m.heardAt !== null && now - m.heardAt < recent && !m.lost) known++;
+      for (const m of s.fleet.machines.values()) {
+        if (m.heardAt === null || m.lost || now - m.heardAt > recent) continue;
+        known++;
+        if (now - m.heardAt < lately) coming++;
+      }
     }
-    if (known === 0 || !this.reach.cutOff(known) || this.world.settings.peers.length === 0) return;
+    if (known === 0 || !this.reach.cutOff(known, coming) || this.world.settings.peers.length === 0) return;
     this.reach.standAside();
     this.world.log.warn({ machines: known }, 'workers cannot reach this node: leaving its shards to others');
     const shards = [...this.shards.values()];
@@ -532,9 +537,7 @@
     const known = this.routes.get(id);
     if (known) return known;
     for (const s of this.shards.values()) if (s.ready && s.jobs.has(id)) return { shard: s.index };
-    const stored = await this.world.store.look(KEYS.job(id));
-    const entry = stored && readJobEntry(stored.value);
-    if (stored && !entry) throw new Unavailable('unreadable record');
+    const entry = await findJob((key) => this.world.store.look(key), id);
     if (entry) this.remember(id, entry);
     return entry;
   }
@@ -545,8 +548,7 @@
    * older than what the user was told.
    */
   private async stored(id: string): Promise<StatusAnswer | null> {
-    const found = await this.world.store.look(KEYS.job(id));
-    const entry = found && readJobEntry(found.value);
+    const entry = await findJob((key) => this.world.store.look(key), id);
     if (!entry) return null;
     this.remember(id, entry);
     const done = entry.final === 'done' ? (entry.tasks ?? 0) : 0;
--- a/src/shards/reach.ts
+++ b/src/shards/reach.ts
@@ -8,6 +8,7 @@
 /** One machine that cannot come has a fault of its own. */
 const FEWEST = 2;
 const SHARE = 0.5;
+const STILL_COMING = 0.1;
 /** A node that was cut off stays aside for this long at least, and for twice as long each time it happens again soon. */
 const ASIDE_MS = 10_000;
 const ASIDE_MOST_MS = 160_000;
@@ -48,9 +49,13 @@
     if (this.told.size > 0) this.told.delete(machine);
   }
 
-  /** Whether half of `known` machines, those that reported here not long ago, cannot come any more. */
-  cutOff(known: number): boolean {
+  /**
+   * Whether half of `known` machines, those that reported here not long ago, cannot come any more. As long as some still
+   * come (`coming`), it is not the node that is cut off: it may be slow, with all machines of a shard just taken over.
+   */
+  cutOff(known: number, coming: number): boolean {
     const now = this.clock.now();
+    if (coming > known * STILL_COMING) return false;
     let astray = 0;
     for (const [machine, t] of this.told) {
       if (now - t.last > TOLD_MS) this.told.delete(machine);
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -74,8 +74,8 @@
 const LOOKS_MOST = 150_000;
 /** A new job is turned away when it would wait longer than this to be stored. */
 const ACCEPT_WAIT_MS = 700;
-/** New jobs for each change that the state service takes: two to accept one, and some for what else goes on. */
-const JOBS_PER_CHANGE = 0.35;
+/** New jobs for each change that the state service takes: one to accept one, and some for what else goes on. */
+const JOBS_PER_CHANGE = 0.6;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
 /** Completed tasks of a job are stored no more often than this, until the last one. */
@@ -576,7 +576,7 @@
       const finish = this.admit(trial);
       if (finish === null) {
         const entry = await this.records.entry(spec.id);
-        if (entry) return this.repeated(spec.id, entry.value as JobEntry);
+        if (entry) return this.repeated(spec.id, entry);
         this.mutexes.delete(spec.id);
         return { kind: 'refused', retryS: 3 };
       }
