--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -113,6 +113,11 @@
   return job.spec.tasks - job.done.count - placed;
 }
 
+/** A team that is guaranteed nothing and may use as much as there is. */
+export function isGuest(team: { cpus: number; gpus: number; cpusMax: number; gpusMax: number }): boolean {
+  return team.cpus <= 0 && team.gpus <= 0 && team.cpusMax <= 0 && team.gpusMax <= 0;
+}
+
 /**
  * Of jobs in the order of acceptance, those that fit into what their team is guaranteed together with the team's earlier
  * unfinished ones (`whole`), and those of which a part does (`partly`, the former included). While they do, they need
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -1,5 +1,5 @@
 import { pause } from '../clock/clock.js';
-import type { JobEntry } from '../jobs/job.js';
+import { isGuest, type JobEntry } from '../jobs/job.js';
 import { findJob, readSpec } from '../jobs/records.js';
 import { Answered, type Mesh } from '../peer/mesh.js';
 import type { Entry } from '../wire/state.js';
@@ -520,11 +520,24 @@
 
   // --- users
 
-  /** The shard of a job that is submitted; null while teams have not been parted. */
+  /**
+   * The shard of a job that is submitted; null while teams have not been parted. Jobs without a team go by a hash of their
+   * id, and so do those of a team with neither a guarantee nor a limit: nothing of theirs has to be counted in one place,
+   * and so their small tasks find what is left on the machines of all shards.
+   */
   shardOf(spec: JobSpec): number | null {
-    if (this.world.settings.teams.length === 0) return hash(spec.id) % this.world.settings.nodes;
+    const { teams, nodes } = this.world.settings;
+    if (teams.length === 0) return hash(spec.id) % nodes;
     const entry = this.members.mirror.entries.get(KEYS.teams);
-    return (entry && readTeams(entry.value)?.[spec.team]) ?? null;
+    const parted = entry && readTeams(entry.value);
+    const own = parted?.[spec.team];
+    if (!parted || own === undefined) return null;
+    const team = teams.find((t) => t.name === spec.team);
+    if (!team || !isGuest(team)) return own;
+    const shards = new Set<number>();
+    for (const t of teams) if (!isGuest(t) && parted[t.name] !== undefined) shards.add(parted[t.name]!);
+    const among = [...shards].sort((a, b) => a - b);
+    return among.length === 0 ? own : among[hash(spec.id) % among.length]!;
   }
 
   private remember(id: string, entry: JobEntry): void {
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -76,6 +76,8 @@
 const ACCEPT_WAIT_MS = 700;
 /** New jobs for each change that the state service takes: one to accept one, and some for what else goes on. */
 const JOBS_PER_CHANGE = 0.6;
+/** So many times as long as its work would take, the least urgent work stands back behind what is accepted later. */
+const LOW_WORK_FACTOR = 20;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
 /** Completed tasks of a job are stored no more often than this, until the last one. */
@@ -604,6 +606,7 @@
 
   private async repeated(id: string, entry: JobEntry): Promise<SubmitAnswer> {
     if (entry.final) return { kind: 'known', status: entry.final };
+    if (entry.shard !== this.index) return { kind: 'known', status: 'queued' };
     const status = await this.recall(id);
     if (!status) throw new Unavailable('job not found in its shard');
     return { kind: 'known', status: status.status };
@@ -813,14 +816,38 @@
 
   /**
    * By priority; then what teams are guaranteed before what they borrow, so that one cannot starve another; then as
-   * accepted.
+   * accepted. Of the least urgent work, what is little goes before what is much and was accepted not long before: it runs
+   * in what others leave, and a swarm of tiny jobs would wait for hours of idle-time work.
    */
   private inOrder(): Job[] {
     const jobs = [...this.jobs.values()].sort((a, b) => a.order - b.order);
     const { whole, partly } = withinGuarantee(jobs, this.world.settings.teams);
     this.guaranteed = whole;
     const rank = (job: Job) => (partly.has(job) ? 0 : 1);
-    return jobs.sort((a, b) => b.spec.priority - a.spec.priority || rank(a) - rank(b) || a.order - b.order);
+    const low = new Map<Job, number>();
+    const cpus = Math.max(1, this.cpus());
+    for (const job of jobs) {
+      if (job.spec.priority > PRIORITY.low) continue;
+      const workS = ((job.spec.tasks - job.done.count) * job.need.cpus * this.runS(job.spec)) / cpus;
+      low.set(job, job.acceptedWall + workS * 1000 * LOW_WORK_FACTOR);
+    }
+    return jobs.sort(
+      (a, b) =>
+        b.spec.priority - a.spec.priority ||
+        rank(a) - rank(b) ||
+        (low.get(a) ?? 0) - (low.get(b) ?? 0) ||
+        a.order - b.order,
+    );
+  }
+
+  /** What the shard's machines have that are in use. */
+  private cpus(): number {
+    const now = this.world.clock.now();
+    let cpus = 0;
+    for (const m of this.fleet.machines.values()) {
+      if (!m.leaving && !m.lost && m.closedUntil <= now) cpus += this.world.catalog.size(m.type).cpus;
+    }
+    return cpus;
   }
 
   /**
@@ -1128,12 +1155,7 @@
       if (job.spec.kind === 'gang' && job.places.size > 0) continue;
       work += openCount(job) * job.need.cpus * this.runS(job.spec);
     }
-    if (work === 0) return 0;
-    let cpus = 0;
-    for (const m of this.fleet.machines.values()) {
-      if (!m.leaving && !m.lost && m.closedUntil <= now) cpus += this.world.catalog.size(m.type).cpus;
-    }
-    return Math.min(1e6, work / Math.max(1, cpus));
+    return work === 0 ? 0 : Math.min(1e6, work / Math.max(1, this.cpus()));
   }
 
   /** Promises a machine whose tasks end soon to a shard where urgent work waits longer. False when there is none. */
--- a/src/shards/starts.ts
+++ b/src/shards/starts.ts
@@ -2,11 +2,18 @@
 import type { Job } from '../jobs/job.js';
 import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
+import { PRIORITY } from '../wire/users.js';
 import type { Fleet, StartOrder } from '../workers/fleet.js';
 import type { Held, Machine } from '../workers/machine.js';
 import type { World } from './world.js';
 
 const ATTEMPTS_PER_TERM = 2 ** 20;
+/**
+ * Starts of the least urgent work a second, for a whole core. Tiny tasks end as fast as they start, and each costs orders
+ * and reports: more of them at once would keep a small controller from everything else.
+ */
+const LOW_STARTS_PER_CORE = 800;
+const LOW_STARTS_SAVED_S = 2;
 
 export interface StartHooks {
   /** Whose a task is and what it takes; null when nobody remembers. */
@@ -23,6 +30,8 @@
 /** Starts tasks, and sees to it that none starts where a rule forbids it, whatever the plan says. */
 export class Starts {
   private attempts = 0;
+  private lowStarts = 0;
+  private lowStartsAt = Number.NEGATIVE_INFINITY;
   /** Zones of the tasks that this round of starts has placed, by job. */
   private readonly pending = new Map<string, number[]>();
   private heldZones: Map<string, Map<number, number>> | null = null;
@@ -76,7 +85,10 @@
       this.pending.set(job.spec.id, placed);
     };
     for (const [job, parts] of gangs) if (parts.length === job.spec.tasks) start(job, parts);
-    for (const s of singles) start(s.job, [s]);
+    for (const s of singles) {
+      if (s.job.spec.priority === PRIORITY.low && !this.mayStartLow(now)) continue;
+      start(s.job, [s]);
+    }
     this.pending.clear();
     for (const [m, starts] of perMachine) {
       for (const h of this.fleet.start(m, starts)) {
@@ -86,6 +98,16 @@
     }
   }
 
+  private mayStartLow(now: number): boolean {
+    const perSecond = LOW_STARTS_PER_CORE * Math.min(1, this.world.settings.limits.cores);
+    const saved = this.lowStarts + ((now - this.lowStartsAt) / 1000) * perSecond;
+    this.lowStarts = Math.min(perSecond * LOW_STARTS_SAVED_S, saved);
+    this.lowStartsAt = now;
+    if (this.lowStarts < 1) return false;
+    this.lowStarts--;
+    return true;
+  }
+
   private permitted(
     job: Job,
     parts: { m: Machine; index: number }[],
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -35,7 +35,7 @@
     nodes: names.length,
     zones: ['a', 'b'],
     skewMs: 1000,
-    teams: [{ name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 }],
+    teams: [],
     objectives: [],
     workers: { reportS: 3, leaseS: LEASE_S, gangWaitS: 40, gangPeerS: 5, cancelS: 45 },
     stateLimits: { rps: 600, writeRps: 300, valueKb: 8, txnOps: 16 },
@@ -63,6 +63,7 @@
   cloudDown = false;
   /** Machines that the list still shows although they are gone. */
   readonly ghosts: FakeWorker[] = [];
+  teams: Settings['teams'] = [{ name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 }];
   objectives: Settings['objectives'] = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }];
   private runs = 0;
 
@@ -91,7 +92,7 @@
   startNode(name: string): Running {
     const http = this.net.requester(name);
     const names = new Names();
-    const s = { ...settings(name, this.names), objectives: this.objectives };
+    const s = { ...settings(name, this.names), objectives: this.objectives, teams: this.teams };
     for (const t of s.teams) names.teams.index(t.name);
     const stopped = { value: false };
     // A process that was killed runs nothing any more.
