--- /dev/null
+++ b/src/shards/demand.ts
@@ -0,0 +1,237 @@
+import { type Job, openCount } from '../jobs/job.js';
+import type { Booking, Plan, PlanJob } from '../plan/plan.js';
+import { type Amounts, fitCount } from '../plan/profile.js';
+import type { Shortage } from '../plan/rent.js';
+import { PRIORITY } from '../wire/users.js';
+import type { Fleet } from '../workers/fleet.js';
+import type { Machine } from '../workers/machine.js';
+import type { Estimates } from './estimates.js';
+import type { Gossip } from './gossip.js';
+import type { Preemption } from './preemption.js';
+import { kindKey, type Supply } from './supply.js';
+import type { World } from './world.js';
+
+/** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
+const RENT_AFTER_MS = 900;
+/** So many empty machines of a kind are told at once: no more can be moved before they are told again. */
+const SPARES_TOLD = 24;
+
+export interface DemandHooks {
+  teamUsage(): Map<number, Amounts>;
+  /** Whether all that an earlier owner may have started is known. */
+  adopted(): boolean;
+  /** Whether a job is within what its team is guaranteed. */
+  guaranteed(job: Job): boolean;
+  spare(m: Machine): boolean;
+  cpus(): number;
+}
+
+/** What a shard lacks, has to spare, and tells the leader of both. */
+export class Demand {
+  private readonly shortSince = new Map<string, number>();
+  private needs: Gossip['needs'] = [];
+
+  constructor(
+    private readonly world: World,
+    private readonly index: number,
+    private readonly fleet: Fleet,
+    private readonly jobs: ReadonlyMap<string, Job>,
+    private readonly estimates: Estimates,
+    private readonly supply: Supply,
+    private readonly preemption: Preemption,
+    private readonly hooks: DemandHooks,
+  ) {}
+
+  forget(job: string): void {
+    this.shortSince.delete(job);
+  }
+
+  /** What the plan leaves waiting: told to the leader, and rented for when it would wait longer than a boot. */
+  assess(plan: Plan, unplaced: { job: Job; plan: PlanJob }[], byOrder: Map<number, Job>, now: number): void {
+    const waiting = new Map<
+      Job,
+      { soon: number; late: number; lateOnes: Booking[]; waitS: number; bootS: number }
+    >();
+    const slot = (job: Job) => {
+      let w = waiting.get(job);
+      if (!w) {
+        w = {
+          soon: 0,
+          late: 0,
+          lateOnes: [],
+          waitS: 0,
+          bootS: this.shortestBoot(job),
+        };
+        waiting.set(job, w);
+      }
+      return w;
+    };
+    const t = now / 1000;
+    for (const b of plan.bookings) {
+      const job = byOrder.get(b.job.id);
+      if (!job || b.start <= t + 0.5) continue;
+      const w = slot(job);
+      w.soon++;
+      w.waitS = Math.max(w.waitS, b.start - t);
+      if (b.start > t + w.bootS * 1.1 + 2) {
+        w.late++;
+        w.lateOnes.push(b);
+      }
+    }
+    const bookings = new Map<number, number>();
+    for (const b of plan.bookings) bookings.set(b.job.id, (bookings.get(b.job.id) ?? 0) + 1);
+    for (const u of unplaced) {
+      const n = Math.max(1, openCount(u.job) - (bookings.get(u.job.order) ?? 0));
+      slot(u.job).soon += n;
+      slot(u.job).late += n;
+      slot(u.job).waitS = 600;
+    }
+    if (this.supply.mayRent(now)) {
+      const groups = [...waiting].filter(([, w]) => w.lateOnes.length > 0);
+      const short = plan.shortOf(
+        groups.map(([, w]) => ({ job: w.lateOnes[0]!.job, bookings: w.lateOnes, by: t + w.bootS * 1.1 + 2 })),
+      );
+      groups.forEach(([, w], i) => {
+        w.late -= w.lateOnes.length - short[i]!;
+      });
+    }
+    const usage = this.hooks.teamUsage();
+    const adopted = this.hooks.adopted();
+    const needs: Gossip['needs'] = [];
+    const short: Shortage[] = [];
+    for (const id of [...this.shortSince.keys()]) {
+      const job = this.jobs.get(id);
+      if (!job || !waiting.has(job)) this.shortSince.delete(id);
+    }
+    for (const job of waiting.keys()) if (job.suspect) waiting.delete(job);
+    for (const [job, w] of [...waiting].sort(
+      (a, b) => b[0].spec.priority - a[0].spec.priority || a[0].order - b[0].order,
+    )) {
+      const cap = this.underCap(job, usage);
+      const soon = Math.min(w.soon, cap);
+      if (soon <= 0) continue;
+      needs.push(this.need(job, soon, w.waitS));
+      // What this job may take of its team's limit is no longer there for the team's other jobs.
+      const use = usage.get(job.team);
+      if (use) addTimes(use, job.need, soon);
+      const since = this.shortSince.get(job.spec.id) ?? now;
+      this.shortSince.set(job.spec.id, since);
+      // Tasks that wait for their team's limit start no sooner on more machines: what starts in time takes of it first.
+      const late = Math.min(w.late, cap - (w.soon - w.late));
+      // What an earlier owner may have started, and may well still run, needs no machine before that is known.
+      if (!job.fresh && !adopted) continue;
+      if (late <= 0 || now - since < RENT_AFTER_MS) continue;
+      short.push({ types: job.types, zone: job.zone, spot: job.spec.spot, need: job.need, count: late });
+    }
+    this.needs = needs;
+    this.supply.order(short, now);
+  }
+
+  /** How long the machines of this shard would take for the urgent work that waits. */
+  private urgentS(): number {
+    let work = 0;
+    const now = this.world.clock.now();
+    for (const job of this.jobs.values()) {
+      if (job.spec.priority < PRIORITY.high || job.spec.kind === 'service' || job.notBefore > now) continue;
+      if (job.spec.kind === 'gang' && job.places.size > 0) continue;
+      work += openCount(job) * job.need.cpus * this.estimates.runS(job.spec);
+    }
+    return work === 0 ? 0 : Math.min(1e6, work / Math.max(1, this.hooks.cpus()));
+  }
+
+  private need(job: Job, count: number, waitS: number): Gossip['needs'][number] {
+    return {
+      types: job.spec.types,
+      zone: job.spec.zone,
+      spot: job.spec.spot,
+      cpus: job.need.cpus,
+      gpus: job.need.gpus,
+      memoryGb: job.need.memoryGb,
+      count,
+      priority: job.spec.priority,
+      guaranteed: this.hooks.guaranteed(job),
+      deadline: job.deadlineWall,
+      waitS,
+    };
+  }
+
+  private shortestBoot(job: Job): number {
+    let best = 1e9;
+    for (const [type, t] of this.world.catalog.all()) {
+      if (job.types && !job.types.has(type)) continue;
+      if (fitCount(this.world.catalog.size(type), job.need, 1) > 0) best = Math.min(best, t.bootS);
+    }
+    return best;
+  }
+
+  /** How many more tasks of a job its team may run at once. */
+  private underCap(job: Job, usage: Map<number, Amounts>): number {
+    const team = this.world.settings.teams[job.team];
+    const use = usage.get(job.team);
+    if (!team || !use) return 100_000;
+    return fitCount(
+      {
+        cpus: team.cpusMax > 0 ? team.cpusMax - use.cpus : 1e12,
+        gpus: team.gpusMax > 0 ? team.gpusMax - use.gpus : 1e12,
+        memoryGb: 1e12,
+      },
+      { ...job.need, memoryGb: 0 },
+      100_000,
+    );
+  }
+
+  gossip(node: string): Gossip {
+    const n = this.world.names;
+    const spares = [];
+    const kinds = new Map<string, number>();
+    for (const m of this.fleet.machines.values()) {
+      if (!this.hooks.spare(m) || this.supply.moving.has(m.id) || m.closedUntil > this.world.clock.now())
+        continue;
+      const kind = kindKey(m.type, m.zone, m.spot);
+      kinds.set(kind, (kinds.get(kind) ?? 0) + 1);
+      if (kinds.get(kind)! > SPARES_TOLD) continue;
+      spares.push({
+        id: m.id,
+        type: n.types.name(m.type),
+        zone: n.zones.name(m.zone),
+        spot: m.spot,
+        images: [...m.images.keys()].map((i) => n.images.name(i)),
+      });
+    }
+    const soft = [];
+    for (const m of this.fleet.machines.values()) {
+      if (
+        this.preemption.promised.has(m.id) ||
+        this.supply.moving.has(m.id) ||
+        !this.preemption.softTo(m, PRIORITY.production + 1)
+      )
+        continue;
+      let top = 0;
+      for (const h of m.held.values()) top = Math.max(top, this.jobs.get(h.job)?.spec.priority ?? 0);
+      soft.push({
+        id: m.id,
+        type: n.types.name(m.type),
+        zone: n.zones.name(m.zone),
+        spot: m.spot,
+        images: [],
+        top,
+      });
+    }
+    return {
+      shard: this.index,
+      node,
+      zone: this.world.settings.zone,
+      urgentS: this.urgentS(),
+      machines: this.fleet.machines.size,
+      spares,
+      soft: soft.slice(0, 30),
+      needs: this.needs.slice(0, 20),
+    };
+  }
+}
+
+function addTimes(to: Amounts, need: Amounts, times: number): void {
+  to.cpus += need.cpus * times;
+  to.gpus += need.gpus * times;
+  to.memoryGb += need.memoryGb * times;
+}
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -1,25 +1,9 @@
 import { Mutex } from 'async-mutex';
 import type { Log } from '../config/log.js';
-import {
-  type Job,
-  type JobEntry,
-  jobStatus,
-  makeJob,
-  openCount,
-  openTasks,
-  withinGuarantee,
-} from '../jobs/job.js';
+import { type Job, type JobEntry, jobStatus, makeJob, openCount, withinGuarantee } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
-import {
-  type Booking,
-  type HeldBooking,
-  type KeptPlace,
-  Plan,
-  type PlanJob,
-  type PlanMachine,
-} from '../plan/plan.js';
-import { type Amounts, fitCount } from '../plan/profile.js';
-import type { RentOption, Shortage } from '../plan/rent.js';
+import type { Plan, PlanJob } from '../plan/plan.js';
+import type { Amounts } from '../plan/profile.js';
 import { StateFailure } from '../state/store.js';
 import type { Entry } from '../wire/state.js';
 import { type JobSpec, type JobStatus, PRIORITY } from '../wire/users.js';
@@ -27,11 +11,14 @@
 import { Fleet, type GoneWhy } from '../workers/fleet.js';
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import { Blame } from './blame.js';
+import { Demand } from './demand.js';
+import { Estimates } from './estimates.js';
 import type { Gossip, Need } from './gossip.js';
 import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
+import { book, Outlook } from './outlook.js';
 import { Preemption } from './preemption.js';
 import { Starts } from './starts.js';
-import { kindKey, Supply } from './supply.js';
+import { Supply } from './supply.js';
 import { Turns } from './turns.js';
 import type { World } from './world.js';
 
@@ -84,16 +71,15 @@
 const GATHER_MS = 2000;
 const GATHER_STEP_MS = 100;
 const ENDED_KEPT = 5000;
-/** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
-const RENT_AFTER_MS = 900;
 /** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
 const PREEMPT_WAIT_S = 2;
-/** So many empty machines of a kind are told at once: no more can be moved before they are told again. */
-const SPARES_TOLD = 24;
 
 /** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
 export class Shard {
   readonly fleet: Fleet;
+  private readonly estimates: Estimates;
+  private readonly outlook: Outlook;
+  private readonly demand: Demand;
   private readonly supply: Supply;
   private readonly preemption: Preemption;
   private readonly starts: Starts;
@@ -118,10 +104,7 @@
   private guaranteed: ReadonlySet<Job> = new Set();
   private lastPlan: { plan: Plan; refs: (Machine | null)[] } | null = null;
   private readonly admissions = new Map<number, { plan: Plan; at: number }>();
-  private shortSince = new Map<string, number>();
-  private needs: Gossip['needs'] = [];
   private booked = new Set<string>();
-  private readonly ratios = new Map<string, { log: number; count: number }>();
 
   constructor(
     private readonly world: World,
@@ -141,6 +124,7 @@
       gone: (h, why) => this.gone(h, why),
       stir: () => this.stir(),
     });
+    this.estimates = new Estimates(world, this.jobs);
     this.turns = new Turns(world.clock);
     this.blame = new Blame(this.jobs, this.fleet.machines, this.log);
     this.starts = new Starts(world, term, this.fleet, this.jobs, this.log, {
@@ -167,6 +151,28 @@
       uniqueName: (kind) => this.uniqueName(kind),
       stir: () => this.stir(),
     });
+    this.outlook = new Outlook(world, this.fleet, this.estimates, {
+      useOf: (h) => this.useOf(h),
+      withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
+      rentals: () => this.supply.rentals,
+      unseen: () => this.unseen(),
+    });
+    this.demand = new Demand(
+      world,
+      index,
+      this.fleet,
+      this.jobs,
+      this.estimates,
+      this.supply,
+      this.preemption,
+      {
+        teamUsage: () => this.starts.teamUsage(),
+        adopted: () => this.adopted,
+        guaranteed: (job) => this.guaranteed.has(job),
+        spare: (m) => this.isSpare(m),
+        cpus: () => this.cpus(),
+      },
+    );
   }
 
   get entitled(): boolean {
@@ -382,7 +388,8 @@
     );
     if (h.cause === 'done') {
       this.blame.succeeded(job, m);
-      if (h.runningAt !== null && h.exitedAt !== null) this.learn(job, (h.exitedAt - h.runningAt) / 1000);
+      if (h.runningAt !== null && h.exitedAt !== null)
+        this.estimates.learn(job, (h.exitedAt - h.runningAt) / 1000);
       // The tasks of a gang complete together: if one is done, all are.
       job.unsettled.push(h);
       const indexes = job.spec.kind === 'gang' ? [...Array(job.spec.tasks).keys()] : [h.index];
@@ -433,19 +440,6 @@
     }
   }
 
-  /** Notes how far off the owner's estimate was. */
-  private learn(job: Job, ranS: number): void {
-    if (job.spec.estimateS <= 0 || ranS <= 1) return;
-    const r = this.ratios.get(job.spec.class) ?? { log: 0, count: 0 };
-    r.count = Math.min(30, r.count + 1);
-    r.log += (Math.log(Math.min(4, Math.max(0.25, ranS / job.spec.estimateS))) - r.log) / (r.count + 2);
-    this.ratios.set(job.spec.class, r);
-  }
-
-  private runS(spec: JobSpec): number {
-    return spec.estimateS * Math.exp(this.ratios.get(spec.class)?.log ?? 0);
-  }
-
   // --- jobs in the state service
 
   private adopt(l: LoadedJob): Job {
@@ -533,7 +527,7 @@
     const id = job.spec.id;
     this.jobs.delete(id);
     this.mutexes.delete(id);
-    this.shortSince.delete(id);
+    this.demand.forget(id);
     this.ended.set(id, { status, tasks: job.spec.tasks, team: job.team, need: job.need });
     for (const old of this.ended.keys()) {
       if (this.ended.size <= ENDED_KEPT) break;
@@ -668,134 +662,10 @@
 
   // --- the plan
 
-  private planMachines(now: number): { machines: PlanMachine[]; refs: (Machine | null)[] } {
-    const machines: PlanMachine[] = [];
-    const refs: (Machine | null)[] = [];
-    const reportMs = this.world.settings.workers.reportS * 1000;
-    for (const m of this.fleet.machines.values()) {
-      const type = this.world.catalog.get(m.type);
-      if (m.leaving || m.lost || !type || this.supply.moving.has(m.id) || this.preemption.promised.has(m.id))
-        continue;
-      const held: HeldBooking[] = [];
-      let strange = false;
-      for (const h of m.held.values()) {
-        if (h.state === 'exited') continue;
-        const use = this.useOf(h);
-        if (use) held.push({ team: use.team, end: this.heldEnd(h, now) / 1000, need: use.need });
-        else strange = true;
-      }
-      const booting = m.heardAt === null && !m.unknown;
-      const bootMs = type.bootS * 1000;
-      const age = now - m.rentedAt;
-      let readyAt = now;
-      if (booting) readyAt = age < bootMs * 1.1 ? m.rentedAt + bootMs * 1.1 : now + bootMs * 0.3;
-      else if (!m.synced) readyAt = now + 1500;
-      const silent = m.heardAt !== null && now - m.heardAt > reportMs * 2.5;
-      const failing = m.unreachableAt !== null && now - m.unreachableAt < 6000;
-      machines.push({
-        type: m.type,
-        zone: m.zone,
-        spot: m.spot,
-        size: this.world.catalog.size(m.type),
-        readyAt: readyAt / 1000,
-        until: m.noticeUntil === null ? Number.POSITIVE_INFINITY : m.noticeUntil / 1000,
-        closed:
-          strange ||
-          silent ||
-          failing ||
-          m.noticeUntil !== null ||
-          m.closedUntil > now ||
-          (booting && age > bootMs * 2.5),
-        fetchGbPerS: type.fetchGbPerS,
-        images: new Set(m.images.keys()),
-        held,
-      });
-      refs.push(m);
-    }
-    for (const r of this.supply.rentals) {
-      for (let i = 0; i < r.count; i++) {
-        machines.push(this.virtual(r.option, (r.at + r.option.bootS * 1100) / 1000));
-        refs.push(null);
-      }
-    }
-    return { machines, refs };
-  }
-
-  private virtual(o: RentOption, readyAt: number): PlanMachine {
-    return {
-      type: o.type,
-      zone: o.zone,
-      spot: o.spot,
-      size: o.size,
-      readyAt,
-      until: Number.POSITIVE_INFINITY,
-      closed: false,
-      fetchGbPerS: this.world.catalog.get(o.type)?.fetchGbPerS ?? 1,
-      images: new Set(),
-      held: [],
-    };
-  }
-
   private useOf(h: Held): { team: number; need: Amounts; spec?: JobSpec } | null {
     return this.jobs.get(h.job) ?? this.ended.get(h.job) ?? null;
   }
 
-  /** When a task on a machine is expected to end; one that outruns its estimate is given some more each time. */
-  private heldEnd(h: Held, now: number): number {
-    const job = this.jobs.get(h.job);
-    if (!job || h.stop) return now + 3000 + (h.stop?.graceS ? (job?.spec.saveS ?? 0) * 1000 : 0);
-    if (job.spec.kind === 'service') return now + 1e12;
-    const run = this.runS(job.spec) * 1000;
-    const type = this.world.catalog.get(h.machine.type);
-    const fetch = h.machine.images.has(job.image) ? 0 : (job.spec.imageGb / (type?.fetchGbPerS ?? 1)) * 1000;
-    const start = h.runningAt ?? Math.max(now, h.orderedAt + fetch);
-    const elapsed = Math.max(0, now - start);
-    return elapsed < run ? start + run : now + Math.max(3000, elapsed * 0.25);
-  }
-
-  private planJob(job: Job, now: number): PlanJob | null {
-    if (job.spec.kind === 'gang' && job.places.size > 0) return null;
-    // A job that fails everywhere is tried with one task.
-    const one = job.suspect && job.spec.kind !== 'gang';
-    if (one && job.places.size > 0) return null;
-    const tasks = openTasks(job, one ? 1 : job.spec.kind === 'gang' ? job.spec.tasks : 300);
-    if (tasks.length === 0) return null;
-    const present = new Map<number, number>();
-    for (const h of job.places.values()) {
-      present.set(h.machine.zone, (present.get(h.machine.zone) ?? 0) + 1);
-    }
-    return {
-      id: job.order,
-      team: job.team,
-      kind: job.spec.kind,
-      need: job.need,
-      types: job.types,
-      zone: job.zone,
-      oneZone: job.spec.oneZone,
-      spread: job.spec.spread,
-      spot: job.spec.spot,
-      image: job.image,
-      imageGb: job.spec.imageGb,
-      runS: this.runS(job.spec),
-      deadline: (now + (job.deadlineWall - this.world.clock.wall())) / 1000,
-      total: job.spec.tasks,
-      tasks,
-      present,
-    };
-  }
-
-  private newPlan(now: number, machines: PlanMachine[]): Plan {
-    const plan = new Plan(
-      now / 1000,
-      machines,
-      this.world.settings.teams.map((t) => ({ cpus: t.cpusMax, gpus: t.gpusMax })),
-    );
-    const unseen = this.unseen();
-    if (unseen.cpus > 0 || unseen.gpus > 0)
-      plan.reserve(unseen, now / 1000 + this.world.settings.workers.leaseS);
-    return plan;
-  }
-
   /** What machines that have not reported to this owner may hold. */
   private unseen(): Amounts {
     const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
@@ -828,7 +698,8 @@
     const cpus = Math.max(1, this.cpus());
     for (const job of jobs) {
       if (job.spec.priority > PRIORITY.low) continue;
-      const workS = ((job.spec.tasks - job.done.count) * job.need.cpus * this.runS(job.spec)) / cpus;
+      const workS =
+        ((job.spec.tasks - job.done.count) * job.need.cpus * this.estimates.runS(job.spec)) / cpus;
       low.set(job, job.acceptedWall + workS * 1000 * LOW_WORK_FACTOR);
     }
     return jobs.sort(
@@ -859,7 +730,7 @@
     if (job.spec.kind === 'service') return 1e7;
     const plan = this.admissionPlan(job.spec.priority, now);
     const mark = plan.bookings.length;
-    const p = this.planJob(job, now)!;
+    const p = this.outlook.job(job, now)!;
     let dueS = job.spec.deadlineS;
     if (dueS !== null) {
       const finish = plan.book({ ...p, deadline: now / 1000 + dueS });
@@ -871,7 +742,7 @@
       const earliest = plan.earliestFinish(p);
       // No machine in sight: the longest way, from renting one on.
       const fallback =
-        Math.max(60, ...this.world.catalog.all().map(([, t]) => t.bootS)) * 2 + this.runS(job.spec);
+        Math.max(60, ...this.world.catalog.all().map(([, t]) => t.bootS)) * 2 + this.estimates.runS(job.spec);
       dueS = DEFAULT_SLACK * (earliest === null ? fallback : earliest - now / 1000);
       plan.book({ ...p, deadline: now / 1000 + dueS });
     }
@@ -886,16 +757,16 @@
   private admissionPlan(priority: number, now: number): Plan {
     const known = this.admissions.get(priority);
     if (known && now - known.at < ADMIT_FRESH_MS) return known.plan;
-    const { machines, refs } = this.planMachines(now);
-    const places = this.keptPlaces(refs);
+    const { machines, refs } = this.outlook.machines(now);
+    const places = this.outlook.keptPlaces(this.lastPlan, refs);
     for (const o of this.supply.options(now)) {
-      for (let i = 0; i < 2; i++) machines.push(this.virtual(o, (now + o.bootS * 1100) / 1000));
+      for (let i = 0; i < 2; i++) machines.push(this.outlook.virtual(o, (now + o.bootS * 1100) / 1000));
     }
-    const plan = this.newPlan(now, machines);
+    const plan = this.outlook.plan(now, machines);
     for (const other of this.inOrder()) {
       if (other.spec.priority < priority) break;
-      const p = other.notBefore > now ? null : this.planJob(other, now);
-      if (p && plan.looks < LOOKS_MOST) this.book(plan, p, places.get(p.id));
+      const p = other.notBefore > now ? null : this.outlook.job(other, now);
+      if (p && plan.looks < LOOKS_MOST) book(plan, p, places.get(p.id));
     }
     // A plan that took long to make serves longer.
     const at = this.world.clock.now();
@@ -974,7 +845,7 @@
       let until = Number.POSITIVE_INFINITY;
       for (const h of job.places.values()) {
         const u = h.machine.noticeUntil;
-        if (u === null || this.heldEnd(h, now) < u - 2000) continue;
+        if (u === null || this.estimates.heldEnd(h, now) < u - 2000) continue;
         if (job.spec.kind === 'gang') until = Math.min(until, u);
         else this.drainTask(job, h, u, now);
       }
@@ -996,20 +867,20 @@
   }
 
   private schedule(now: number): void {
-    const { machines, refs } = this.planMachines(now);
-    const plan = this.newPlan(now, machines);
+    const { machines, refs } = this.outlook.machines(now);
+    const plan = this.outlook.plan(now, machines);
     const unplaced: { job: Job; plan: PlanJob }[] = [];
     const byOrder = new Map<number, Job>();
     // Now and then all is booked anew, so that work moves up into room that has come free; between, only the next jobs.
     const anew = now >= this.bookAnewAt;
-    const places = anew ? null : this.keptPlaces(refs);
+    const places = anew ? null : this.outlook.keptPlaces(this.lastPlan, refs);
     for (const job of this.inOrder()) {
       if (job.notBefore > now) continue;
-      const p = this.planJob(job, now);
+      const p = this.outlook.job(job, now);
       if (!p) continue;
       byOrder.set(p.id, job);
       const kept = byOrder.size > BOOKED_ANEW ? places?.get(p.id) : undefined;
-      const booked = plan.looks < LOOKS_MOST ? this.book(plan, p, kept) : plan.bookNow(p) === p.tasks.length;
+      const booked = plan.looks < LOOKS_MOST ? book(plan, p, kept) : plan.bookNow(p) === p.tasks.length;
       if (!booked) unplaced.push({ job, plan: p });
     }
     plan.startEarly();
@@ -1029,180 +900,19 @@
     }
     for (const job of waiting) if (job.suspect) waiting.delete(job);
     this.preemption.makeRoom(waiting, now);
-    this.shortages(plan, unplaced, byOrder, now);
-  }
-
-  /** Where the last plan had each task, by job, on machines that are still there. */
-  private keptPlaces(refs: (Machine | null)[]): Map<number, Map<number, KeptPlace>> {
-    const places = new Map<number, Map<number, KeptPlace>>();
-    const index = new Map<Machine, number>();
-    refs.forEach((m, i) => {
-      if (m) index.set(m, i);
-    });
-    for (const b of this.lastPlan?.plan.bookings ?? []) {
-      const m = this.lastPlan!.refs[b.machine];
-      const machine = m ? index.get(m) : undefined;
-      if (machine === undefined) continue;
-      let tasks = places.get(b.job.id);
-      if (!tasks) {
-        tasks = new Map();
-        places.set(b.job.id, tasks);
-      }
-      tasks.set(b.task, { machine, start: b.start });
-    }
-    return places;
-  }
-
-  /** Books a job where it was, as far as it still fits there, and the rest of it anew. False when it finds no place. */
-  private book(plan: Plan, job: PlanJob, kept: ReadonlyMap<number, KeptPlace> | undefined): boolean {
-    const tasks = kept ? plan.keep(job, kept) : job.tasks;
-    return tasks.length === 0 || plan.book(tasks === job.tasks ? job : { ...job, tasks }) !== null;
+    this.demand.assess(plan, unplaced, byOrder, now);
   }
 
   // --- renting and returning
 
-  private shortages(
-    plan: Plan,
-    unplaced: { job: Job; plan: PlanJob }[],
-    byOrder: Map<number, Job>,
-    now: number,
-  ): void {
-    const waiting = new Map<
-      Job,
-      { soon: number; late: number; lateOnes: Booking[]; waitS: number; bootS: number }
-    >();
-    const slot = (job: Job) => {
-      let w = waiting.get(job);
-      if (!w) {
-        w = {
-          soon: 0,
-          late: 0,
-          lateOnes: [],
-          waitS: 0,
-          bootS: this.shortestBoot(job),
-        };
-        waiting.set(job, w);
-      }
-      return w;
-    };
-    const t = now / 1000;
-    for (const b of plan.bookings) {
-      const job = byOrder.get(b.job.id);
-      if (!job || b.start <= t + 0.5) continue;
-      const w = slot(job);
-      w.soon++;
-      w.waitS = Math.max(w.waitS, b.start - t);
-      if (b.start > t + w.bootS * 1.1 + 2) {
-        w.late++;
-        w.lateOnes.push(b);
-      }
-    }
-    const bookings = new Map<number, number>();
-    for (const b of plan.bookings) bookings.set(b.job.id, (bookings.get(b.job.id) ?? 0) + 1);
-    for (const u of unplaced) {
-      const n = Math.max(1, openCount(u.job) - (bookings.get(u.job.order) ?? 0));
-      slot(u.job).soon += n;
-      slot(u.job).late += n;
-      slot(u.job).waitS = 600;
-    }
-    if (this.supply.mayRent(now)) {
-      const groups = [...waiting].filter(([, w]) => w.lateOnes.length > 0);
-      const short = plan.shortOf(
-        groups.map(([, w]) => ({ job: w.lateOnes[0]!.job, bookings: w.lateOnes, by: t + w.bootS * 1.1 + 2 })),
-      );
-      groups.forEach(([, w], i) => {
-        w.late -= w.lateOnes.length - short[i]!;
-      });
-    }
-    const usage = this.starts.teamUsage();
-    const { adopted } = this;
-    const needs: Gossip['needs'] = [];
-    const short: Shortage[] = [];
-    for (const id of [...this.shortSince.keys()]) {
-      const job = this.jobs.get(id);
-      if (!job || !waiting.has(job)) this.shortSince.delete(id);
-    }
-    for (const job of waiting.keys()) if (job.suspect) waiting.delete(job);
-    for (const [job, w] of [...waiting].sort(
-      (a, b) => b[0].spec.priority - a[0].spec.priority || a[0].order - b[0].order,
-    )) {
-      const cap = this.underCap(job, usage);
-      const soon = Math.min(w.soon, cap);
-      if (soon <= 0) continue;
-      needs.push(this.need(job, soon, w.waitS));
-      // What this job may take of its team's limit is no longer there for the team's other jobs.
-      const use = usage.get(job.team);
-      if (use) addTimes(use, job.need, soon);
-      const since = this.shortSince.get(job.spec.id) ?? now;
-      this.shortSince.set(job.spec.id, since);
-      // Tasks that wait for their team's limit start no sooner on more machines: what starts in time takes of it first.
-      const late = Math.min(w.late, cap - (w.soon - w.late));
-      // What an earlier owner may have started, and may well still run, needs no machine before that is known.
-      if (!job.fresh && !adopted) continue;
-      if (late <= 0 || now - since < RENT_AFTER_MS) continue;
-      short.push({ types: job.types, zone: job.zone, spot: job.spec.spot, need: job.need, count: late });
-    }
-    this.needs = needs;
-    this.supply.order(short, now);
-  }
-
-  /** How long the machines of this shard would take for the urgent work that waits. */
-  private urgentS(): number {
-    let work = 0;
-    const now = this.world.clock.now();
-    for (const job of this.jobs.values()) {
-      if (job.spec.priority < PRIORITY.high || job.spec.kind === 'service' || job.notBefore > now) continue;
-      if (job.spec.kind === 'gang' && job.places.size > 0) continue;
-      work += openCount(job) * job.need.cpus * this.runS(job.spec);
-    }
-    return work === 0 ? 0 : Math.min(1e6, work / Math.max(1, this.cpus()));
-  }
-
   /** Promises a machine whose tasks end soon to a shard where urgent work waits longer. False when there is none. */
   cede(to: number, need: Need, zone: string): boolean {
     const now = this.world.clock.now();
-    return this.preemption.cede(to, need, zone, (h) => this.heldEnd(h, now));
-  }
-
-  private need(job: Job, count: number, waitS: number): Gossip['needs'][number] {
-    return {
-      types: job.spec.types,
-      zone: job.spec.zone,
-      spot: job.spec.spot,
-      cpus: job.need.cpus,
-      gpus: job.need.gpus,
-      memoryGb: job.need.memoryGb,
-      count,
-      priority: job.spec.priority,
-      guaranteed: this.guaranteed.has(job),
-      deadline: job.deadlineWall,
-      waitS,
-    };
+    return this.preemption.cede(to, need, zone, (h) => this.estimates.heldEnd(h, now));
   }
 
-  private shortestBoot(job: Job): number {
-    let best = 1e9;
-    for (const [type, t] of this.world.catalog.all()) {
-      if (job.types && !job.types.has(type)) continue;
-      if (fitCount(this.world.catalog.size(type), job.need, 1) > 0) best = Math.min(best, t.bootS);
-    }
-    return best;
-  }
-
-  /** How many more tasks of a job its team may run at once. */
-  private underCap(job: Job, usage: Map<number, Amounts>): number {
-    const team = this.world.settings.teams[job.team];
-    const use = usage.get(job.team);
-    if (!team || !use) return 100_000;
-    return fitCount(
-      {
-        cpus: team.cpusMax > 0 ? team.cpusMax - use.cpus : 1e12,
-        gpus: team.gpusMax > 0 ? team.gpusMax - use.gpus : 1e12,
-        memoryGb: 1e12,
-      },
-      { ...job.need, memoryGb: 0 },
-      100_000,
-    );
+  gossip(node: string): Gossip {
+    return this.demand.gossip(node);
   }
 
   /** Clears a machine for another shard's more urgent work. False when that is not to be. */
@@ -1214,63 +924,8 @@
   listed(): void {
     this.supply.listed();
   }
-
-  gossip(node: string): Gossip {
-    const n = this.world.names;
-    const spares = [];
-    const kinds = new Map<string, number>();
-    for (const m of this.fleet.machines.values()) {
-      if (!this.isSpare(m) || this.supply.moving.has(m.id) || m.closedUntil > this.world.clock.now())
-        continue;
-      const kind = kindKey(m.type, m.zone, m.spot);
-      kinds.set(kind, (kinds.get(kind) ?? 0) + 1);
-      if (kinds.get(kind)! > SPARES_TOLD) continue;
-      spares.push({
-        id: m.id,
-        type: n.types.name(m.type),
-        zone: n.zones.name(m.zone),
-        spot: m.spot,
-        images: [...m.images.keys()].map((i) => n.images.name(i)),
-      });
-    }
-    const soft = [];
-    for (const m of this.fleet.machines.values()) {
-      if (
-        this.preemption.promised.has(m.id) ||
-        this.supply.moving.has(m.id) ||
-        !this.preemption.softTo(m, PRIORITY.production + 1)
-      )
-        continue;
-      let top = 0;
-      for (const h of m.held.values()) top = Math.max(top, this.jobs.get(h.job)?.spec.priority ?? 0);
-      soft.push({
-        id: m.id,
-        type: n.types.name(m.type),
-        zone: n.zones.name(m.zone),
-        spot: m.spot,
-        images: [],
-        top,
-      });
-    }
-    return {
-      shard: this.index,
-      node,
-      zone: this.world.settings.zone,
-      urgentS: this.urgentS(),
-      machines: this.fleet.machines.size,
-      spares,
-      soft: soft.slice(0, 30),
-      needs: this.needs.slice(0, 20),
-    };
-  }
 }
 
 function endedStatus(status: 'done' | 'cancelled', tasks: number): StatusAnswer {
   return { status, done: status === 'done' ? tasks : 0, running: 0 };
 }
-
-function addTimes(to: Amounts, need: Amounts, times: number): void {
-  to.cpus += need.cpus * times;
-  to.gpus += need.gpus * times;
-  to.memoryGb += need.memoryGb * times;
-}
