--- a/src/shards/demand.ts
+++ b/src/shards/demand.ts
@@ -23,7 +23,6 @@
   /** Whether a job is within what its team is guaranteed. */
   guaranteed(job: Job): boolean;
   spare(m: Machine): boolean;
-  cpus(): number;
 }
 
 /** What a shard lacks, has to spare, and tells the leader of both. */
@@ -127,16 +126,34 @@
     this.supply.order(short, now);
   }
 
-  /** How long the machines of this shard would take for the urgent work that waits. */
+  /** How long the machines of this shard that can take the urgent work that waits would take for it. */
   private urgentS(): number {
-    let work = 0;
     const now = this.world.clock.now();
+    const slots = new Map<string, number>();
+    let seconds = 0;
     for (const job of this.jobs.values()) {
       if (job.spec.priority < PRIORITY.high || job.spec.kind === 'service' || job.notBefore > now) continue;
       if (job.spec.kind === 'gang' && job.places.size > 0) continue;
-      work += openCount(job) * job.need.cpus * this.estimates.runS(job.spec);
+      const open = openCount(job);
+      if (open === 0) continue;
+      const { cpus, gpus, memoryGb } = job.need;
+      const key = `${cpus} ${gpus} ${memoryGb} ${job.spec.types ?? ''} ${job.spec.zone} ${job.spec.spot}`;
+      const fit = slots.get(key) ?? this.slotsFor(job, now);
+      slots.set(key, fit);
+      seconds += (open * this.estimates.runS(job.spec)) / Math.max(1, fit);
     }
-    return work === 0 ? 0 : Math.min(1e6, work / Math.max(1, this.hooks.cpus()));
+    return Math.min(1e6, seconds);
+  }
+
+  /** How many tasks of a job the shard's machines take at once. */
+  private slotsFor(job: Job, now: number): number {
+    let slots = 0;
+    for (const m of this.fleet.machines.values()) {
+      if (m.leaving || m.lost || m.closedUntil > now || (m.spot && !job.spec.spot)) continue;
+      if ((job.types && !job.types.has(m.type)) || (job.zone !== null && job.zone !== m.zone)) continue;
+      slots += fitCount(this.world.catalog.size(m.type), job.need, 1000);
+    }
+    return slots;
   }
 
   private need(job: Job, count: number, waitS: number): Gossip['needs'][number] {
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -32,6 +32,8 @@
 const CEDE_MARGIN_S = 6;
 const CEDE_PAUSE_MS = 300;
 const CEDE_KEEPS = 3;
+const CEDE_AIM_S = 120;
+const CEDE_AIM_SHARE = 0.5;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
 const STRAY_GRACE_MS = 400;
 const BOOTING_GRACE_MS = 8000;
@@ -278,7 +280,7 @@
       this.given.set(m.machine, now);
       void this.giveAway(m.from, m.machine, m.to).catch(() => undefined);
     }
-    const ceding = now - this.cededAt < CEDE_PAUSE_MS ? null : chooseCeding(fresh);
+    const ceding = now - this.cededAt < CEDE_PAUSE_MS ? null : chooseCeding(fresh, this.cedeMostS());
     if (ceding && counts[ceding.to]! < most) {
       this.cededAt = now;
       void this.cede(ceding.from, ceding.to, ceding.need, ceding.zone).catch(() => undefined);
@@ -291,6 +293,14 @@
     void this.vacate(clear.from, clear.machine, clear.to, clear.priority).catch(() => undefined);
   }
 
+  /** A shard cedes machines as long as its own urgent work will well meet the hastiest aim for a start. */
+  private cedeMostS(): number {
+    let hastiest = CEDE_AIM_S;
+    for (const o of this.world.settings.objectives)
+      if (o.kind === 'wait' && o.withinS !== null) hastiest = Math.min(hastiest, o.withinS);
+    return hastiest * CEDE_AIM_SHARE;
+  }
+
   private clearedAt = Number.NEGATIVE_INFINITY;
   private cededAt = Number.NEGATIVE_INFINITY;
 }
@@ -301,6 +311,7 @@
  */
 export function chooseCeding(
   told: readonly Gossip[],
+  mostS: number,
 ): { from: number; to: number; need: Need; zone: string } | null {
   let to: Gossip | null = null;
   for (const g of told) if (!to || g.urgentS > to.urgentS) to = g;
@@ -311,7 +322,8 @@
     if (g.shard === to.shard || g.machines < CEDE_KEEPS) continue;
     if (!from || g.urgentS < from.urgentS) from = g;
   }
-  if (!from || from.urgentS * CEDE_FACTOR + CEDE_MARGIN_S > to.urgentS) return null;
+  // Where urgent work waits long itself nothing is gained: when all wait equally long, all may miss their aims.
+  if (!from || from.urgentS > mostS || from.urgentS * CEDE_FACTOR + CEDE_MARGIN_S > to.urgentS) return null;
   return { from: from.shard, to: to.shard, need, zone: to.zone };
 }
 
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -170,7 +170,6 @@
         adopted: () => this.adopted,
         guaranteed: (job) => this.guaranteed.has(job),
         spare: (m) => this.isSpare(m),
-        cpus: () => this.cpus(),
       },
     );
   }
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -186,10 +186,15 @@
     urgentS,
     machines,
   });
-  const ceding = chooseCeding([full(0, 12), full(1, 60), full(2, 0, 1)]);
+  const ceding = chooseCeding([full(0, 12), full(1, 60), full(2, 0, 1)], 40);
   assert.deepEqual([ceding?.from, ceding?.to], [0, 1]);
-  assert.equal(chooseCeding([full(0, 45), full(1, 60)]), null, 'not to and fro where both wait');
-  assert.equal(chooseCeding([full(0, 0), full(1, 10)]), null);
+  assert.equal(chooseCeding([full(0, 45), full(1, 60)], 50), null, 'not to and fro where both wait');
+  assert.equal(chooseCeding([full(0, 0), full(1, 10)], 40), null);
+  assert.equal(
+    chooseCeding([full(0, 60), full(1, 300)], 40),
+    null,
+    'not where its own urgent work waits long',
+  );
 });
 
 // Guards against a shard whose machines lie in a zone that its owner cannot reach: in a cut between zones they all lost
