--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -31,7 +31,7 @@
 const CEDE_FACTOR = 1.25;
 const CEDE_MARGIN_S = 6;
 const CEDE_PAUSE_MS = 300;
-const CEDE_KEEPS = 3;
+const CEDE_FEWEST = 3;
 const CEDE_AIM_S = 120;
 const CEDE_AIM_SHARE = 0.5;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
@@ -319,7 +319,7 @@
   if (!to || !need || to.urgentS < CEDE_LEAST_S) return null;
   let from: Gossip | null = null;
   for (const g of told) {
-    if (g.shard === to.shard || g.machines < CEDE_KEEPS) continue;
+    if (g.shard === to.shard || g.machines < CEDE_FEWEST) continue;
     if (!from || g.urgentS < from.urgentS) from = g;
   }
   // Where urgent work waits long itself nothing is gained: when all wait equally long, all may miss their aims.
--- a/src/shards/preemption.ts
+++ b/src/shards/preemption.ts
@@ -16,6 +16,7 @@
 /** A machine is ceded when its tasks end within this, and so many at a time. */
 const CEDE_WITHIN_MS = 20_000;
 const CEDED_AT_ONCE = 12;
+const CEDE_KEEPS = 40;
 /** So many waiting jobs are looked at in one plan when room is made for urgent work. */
 const PREEMPT_JOBS = 6;
 
@@ -145,14 +146,16 @@
     for (const p of this.promised.values()) if (p.ceded) promises++;
     if (promises >= CEDED_AT_ONCE) return false;
     let best: { m: Machine; cost: number } | null = null;
+    let fitting = 0;
     for (const m of this.fleet.machines.values()) {
       if (!m.synced || m.leaving || m.lost || m.unknown || m.noticeUntil !== null || m.closedUntil > now)
         continue;
-      if (this.promised.has(m.id) || this.hooks.moving(m.id)) continue;
       if (need.types && !need.types.includes(types.name(m.type))) continue;
       if ((m.spot && !need.spot) || (need.zone !== null && need.zone !== zones.name(m.zone))) continue;
       const size = this.world.catalog.size(m.type);
       if (fitCount(size, need, 1) === 0) continue;
+      fitting++;
+      if (this.promised.has(m.id) || this.hooks.moving(m.id)) continue;
       let end = now;
       for (const h of m.held.values()) if (h.state !== 'exited') end = Math.max(end, endOf(h));
       if (end > now + CEDE_WITHIN_MS) continue;
@@ -164,7 +167,8 @@
         (zones.name(m.zone) === zone ? 0 : 5000);
       if (!best || cost < best.cost) best = { m, cost };
     }
-    if (!best) return false;
+    // Where few machines fit, the moments in which one of them stands empty cost more than an even wait is worth.
+    if (!best || fitting < CEDE_KEEPS) return false;
     this.promised.set(best.m.id, { to, until: now + CEDE_WITHIN_MS * 2, ceded: true });
     this.log.info({ machine: best.m.id, to, held: best.m.held.size }, 'ceding a machine to another shard');
     this.hooks.stir();
