--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -33,7 +33,7 @@
 const CEDE_PAUSE_MS = 300;
 const CEDE_FEWEST = 3;
 const CEDE_AIM_S = 120;
-const CEDE_AIM_SHARE = 0.5;
+const CEDE_AIM_SHARE = 1;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
 const STRAY_GRACE_MS = 400;
 const BOOTING_GRACE_MS = 8000;
@@ -293,7 +293,7 @@
     void this.vacate(clear.from, clear.machine, clear.to, clear.priority).catch(() => undefined);
   }
 
-  /** A shard cedes machines as long as its own urgent work will well meet the hastiest aim for a start. */
+  /** A shard cedes machines as long as its own urgent work still meets the hastiest aim for a start. */
   private cedeMostS(): number {
     let hastiest = CEDE_AIM_S;
     for (const o of this.world.settings.objectives)
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -270,6 +270,35 @@
   );
 });
 
+// Guards against shards that stay as they were parted on a full day: no machine is ever empty there, so none was moved.
+test('a shard with little urgent work cedes machines as their tasks end, and stops nothing', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  c.teams = ['red', 'blue'].map((name) => ({ name, cpus: 320, cpusMax: 2000, gpus: 0, gpusMax: 0 }));
+  for (let i = 0; i < 100; i++) c.addWorker('c8', i % 2 ? 'a' : 'b');
+  c.startNode('n0');
+  c.startNode('n1');
+  await c.clock.advance(8000);
+  const shard = (c.state.value('c/teams') as Record<string, number>).red;
+  const reds = () =>
+    c.workers.filter((w) => (c.state.value(`c/m/${w.id}`) as { shard: number }).shard === shard);
+  c.objectives[0]!.withinS = 120;
+  const work = { cpus: 8, expectedS: 15, saveEveryS: 0, urgency: 'urgent' };
+  assert.ok(await c.submit('n0', job('wk-1', { ...work, owner: 'blue', pieces: 200 })));
+  assert.ok(await c.submit('n0', job('wk-2', { ...work, pieces: 600 })));
+  const busy = () => c.workers.every((w) => w.pieces.some((p) => p.status === 'running'));
+  assert.ok(await c.clock.until(busy, 15_000));
+  const before = reds().length;
+  for (let i = 0; i < 12; i++) {
+    await c.clock.advance(2000);
+    for (const [n, w] of c.workers.entries())
+      for (const p of w.pieces) if (p.status === 'running' && n % 12 === i) w.end(p.piece, 'done');
+  }
+  assert.ok(reds().length > before + 5, `${before} machines, then ${reds().length}`);
+  const causes = new Set(c.workers.flatMap((w) => w.pieces.map((p) => p.cause ?? 'done')));
+  assert.deepEqual([...causes], ['done']);
+  assert.ok(c.workers.every((w) => w.shift === 1));
+});
+
 test('an order held back is void once the machine has a newer token', async () => {
   const c = new FakeCluster(['n0']);
   const w = c.addWorker('c8', 'a');
