--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -299,6 +299,49 @@
   assert.ok(c.workers.every((w) => w.shift === 1));
 });
 
+// Guards against a controller that acts, when it wakes, on what it decided or read before it stood still.
+test('a controller that stood still past its lease does nothing of what it was about to do', async () => {
+  const c = new FakeCluster(['n0', 'n1', 'n2']);
+  const machines = [1, 2, 3].map(() => c.addWorker('c8', 'a'));
+  for (const n of ['n0', 'n1', 'n2']) c.startNode(n);
+  await c.clock.advance(8000);
+  assert.ok(await c.submit('n1', job('wk-1', { pieces: 2, cpus: 8 })));
+  assert.ok(await c.clock.until(() => machines.filter((w) => w.pieces.length > 0).length === 2, 10_000));
+  const shard = (c.state.value(`c/m/${machines[0]!.id}`) as { shard: number }).shard;
+  const owner = () => (c.state.value(`c/own/${shard}`) as { node: string } | undefined)?.node;
+  const old = owner()!;
+  const other = ['n0', 'n1', 'n2'].find((n) => n !== old)!;
+  // A new job is accepted, and its start is planned: then the owner stands still before its timer comes.
+  assert.ok(await c.submit(old, job('wk-2', { cpus: 8 })));
+  const wake = c.freeze(old);
+  assert.ok(await c.clock.until(() => owner() !== undefined && owner() !== old, 15_000), 'adopted');
+  assert.ok(await c.clock.until(() => machines.some((w) => w.on('wk-2/0')), 10_000));
+  const cancelled = await c.call(other, 'POST', '/api/jobs/wk-1/abort');
+  assert.equal(status(cancelled.body), 'aborted');
+  await c.clock.advance(10_000);
+  const late = c.nodes.get(old)!.api.handle(c.request('POST', '/v1/report', machines[0]!.report()));
+  const asked = c.nodes.get(old)!.api.handle(c.request('GET', '/api/jobs/wk-1'));
+  const started = () => machines.flatMap((w) => w.started).sort();
+  const before = started();
+  const requests: string[] = [];
+  c.net.fate = (from, addr, _m, path, body) => {
+    if (from === old && addr.startsWith('10.1.')) requests.push(path);
+    if (from === old && path === '/txn' && JSON.stringify(body).includes('act/')) requests.push(path);
+    return 'deliver';
+  };
+  wake();
+  await c.clock.advance(1500);
+  assert.notEqual((await late).status, 200, 'no lease is renewed on its word');
+  assert.notEqual(status((await asked).body), 'running', 'nothing older than what was told');
+  assert.deepEqual(requests, [], 'no order and no record');
+  assert.notEqual(owner(), old);
+  await c.clock.advance(20_000);
+  assert.deepEqual(started(), before);
+  assert.equal(owner(), old, 'its shard goes home, once');
+  assert.ok(machines.every((w) => w.shift === 1));
+  assert.equal(status((await c.call(old, 'GET', '/api/jobs/wk-1')).body), 'aborted');
+});
+
 test('an order held back is void once the machine has a newer token', async () => {
   const c = new FakeCluster(['n0']);
   const w = c.addWorker('c8', 'a');
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -21,6 +21,8 @@
   api: Api;
   cut: boolean;
   stopped: { value: boolean };
+  /** While it stands still, what comes due or comes in is queued, as in the sockets of a process that does not run. */
+  still: { value: boolean; queue: (() => void)[] };
 }
 
 function settings(name: string, names: string[]): Settings {
@@ -95,18 +97,28 @@
     const s = { ...settings(name, this.names), objectives: this.objectives, teams: this.teams };
     for (const t of s.teams) names.teams.index(t.name);
     const stopped = { value: false };
+    const still: Running['still'] = { value: false, queue: [] };
+    const whenRunning = (run: () => void) => {
+      if (stopped.value) return;
+      if (still.value) still.queue.push(run);
+      else run();
+    };
+    const awake = <T>(value: T) => new Promise<T>((resolve) => whenRunning(() => resolve(value)));
     // A process that was killed runs nothing any more.
     const clock = {
       now: () => this.clock.now(),
       wall: () => this.clock.wall(),
-      after: (ms: number, run: () => void) => this.clock.after(ms, () => (stopped.value ? undefined : run())),
+      after: (ms: number, run: () => void) => this.clock.after(ms, () => whenRunning(run)),
     };
     const world: World = {
       clock,
       settings: s,
       log: pino({ level: 'silent' }),
       http: {
-        request: (...args) => (stopped.value ? new Promise(() => undefined) : http.request(...args)),
+        request: (...args) =>
+          stopped.value
+            ? new Promise(() => undefined)
+            : http.request(...args).then(awake, (error) => awake(null).then(() => Promise.reject(error))),
       },
       store: null as unknown as StateStore,
       cloud: null as unknown as Cloud,
@@ -118,12 +130,25 @@
     world.store = new StateStore(clock, world.http, STATE, { ...this.stateRates, nodes: 1 });
     world.cloud = new Cloud(clock, world.http, CLOUD, 30, 1);
     const node = new ControllerNode(world);
-    const running: Running = { node, api: new Api(world, node), cut: false, stopped };
+    const api = new Api(world, node);
+    const handle = api.handle.bind(api);
+    api.handle = (request) => awake(request).then(handle);
+    const running: Running = { node, api, cut: false, stopped, still };
     this.nodes.set(name, running);
     void node.start(this.mesh(name, running));
     return running;
   }
 
+  /** Lets a node stand still while its clocks run on; returns what wakes it. */
+  freeze(name: string): () => void {
+    const { still } = this.nodes.get(name)!;
+    still.value = true;
+    return () => {
+      still.value = false;
+      for (const run of still.queue.splice(0)) run();
+    };
+  }
+
   killNode(name: string): void {
     const running = this.nodes.get(name);
     if (running) running.stopped.value = true;
@@ -164,12 +189,12 @@
     return {
       ask: async (to, op, args) => {
         const target = this.nodes.get(to);
-        if (!target || target.cut || running.cut) throw new Error('not connected');
+        if (!target || target.cut || running.cut || target.still.value) throw new Error('not connected');
         return target.node.serve(op, JSON.parse(JSON.stringify(args)));
       },
       tell: (to, op, args) => {
         const target = this.nodes.get(to);
-        if (!target || target.cut || running.cut || running.stopped.value) return;
+        if (!target || target.cut || running.cut || running.stopped.value || target.still.value) return;
         void target.node.serve(op, JSON.parse(JSON.stringify(args))).catch(() => from);
       },
     };
