--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -342,6 +342,32 @@
   assert.equal(status((await c.call(old, 'GET', '/api/jobs/wk-1')).body), 'aborted');
 });
 
+// Guards against a task started a third time: of two attempts of a task that are on machines, the one that was to be
+// stopped had no place, so the end of the other made the task free.
+test('while a second attempt of a task is on a machine and is being stopped, the task has its place there', async () => {
+  const c = new FakeCluster(['n0']);
+  const first = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-1', { cpus: 8 })));
+  assert.ok(await started(c, 'wk-1/0'));
+  const second = c.addWorker('c8', 'a');
+  await c.clock.advance(4000);
+  // The second machine holds the task as well, and no stop reaches it.
+  const answer = second.answer.bind(second);
+  second.answer = (body, sent) => answer({ ...(body as object), orders: [] }, sent);
+  c.net.fate = (_f, addr, _m, path) => (addr === second.addr && path === '/do' ? 'silent' : 'deliver');
+  second.pieces.push({ piece: 'wk-1/0', try: 1, status: 'running' });
+  await c.clock.advance(3000);
+  const third = c.addWorker('c8', 'a');
+  await c.clock.advance(4000);
+  first.end('wk-1/0', 'error');
+  await c.clock.advance(10_000);
+  assert.ok(second.on('wk-1/0'));
+  assert.deepEqual([first.started.length, third.started.length], [1, 0], 'not started beside it');
+  second.end('wk-1/0', 'halted');
+  assert.ok(await c.clock.until(() => first.started.length + third.started.length === 2, 20_000));
+});
+
 test('an order held back is void once the machine has a newer token', async () => {
   const c = new FakeCluster(['n0']);
   const w = c.addWorker('c8', 'a');
