--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -69,6 +69,8 @@
     }
     const answer = await this.node.submit(spec);
     if (answer.kind === 'refused') return later(429, answer.retryS, 'no plan meets the deadline');
+    if (answer.kind === 'never')
+      return { status: 422, body: { error: `${answer.needs} was never accepted` } };
     if (answer.kind === 'busy') return later(503, answer.retryS, 'too many new jobs at once');
     if (answer.kind === 'accepted') return { status: 201, body: writeAccepted(spec.id, 'queued') };
     return { status: 200, body: writeAccepted(spec.id, answer.status) };
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -42,7 +42,10 @@
   teams: Team[];
   objectives: Objective[];
   workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  /** What the state service allows now and, where that is less, from some later moment on (`state.next`). */
   stateLimits: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  /** The size of values that the former layout of done tasks depends on: the one of now, whatever comes. */
+  layoutKb: number;
   cloudLimits: { rps: number; listLagS: number };
   limits: { cores: number; memoryMb: number; maxSockets: number };
 }
@@ -101,6 +104,15 @@
       write_rps: positive,
       value_kb: positive,
       txn_ops: v.pipe(v.number(), v.integer(), v.minValue(1)),
+      next: v.optional(
+        v.object({
+          rps: v.optional(positive),
+          write_rps: v.optional(positive),
+          value_kb: v.optional(positive),
+          txn_ops: v.optional(v.pipe(v.number(), v.integer(), v.minValue(1))),
+        }),
+        {},
+      ),
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     limits: v.object({ cores: positive, memory_mb: positive, max_sockets: positive }),
@@ -182,11 +194,12 @@
       cancelS: p.workers.cancel_s,
     },
     stateLimits: {
-      rps: p.state.rps,
-      writeRps: p.state.write_rps,
-      valueKb: p.state.value_kb,
-      txnOps: p.state.txn_ops,
+      rps: Math.min(p.state.rps, p.state.next.rps ?? p.state.rps),
+      writeRps: Math.min(p.state.write_rps, p.state.next.write_rps ?? p.state.write_rps),
+      valueKb: Math.min(p.state.value_kb, p.state.next.value_kb ?? p.state.value_kb),
+      txnOps: Math.min(p.state.txn_ops, p.state.next.txn_ops ?? p.state.txn_ops),
     },
+    layoutKb: p.state.value_kb,
     cloudLimits: { rps: p.cloud.rps, listLagS: p.cloud.list_lag_s },
     limits: { cores: p.limits.cores, memoryMb: p.limits.memory_mb, maxSockets: p.limits.max_sockets },
   };
--- a/src/jobs/bits.ts
+++ b/src/jobs/bits.ts
@@ -18,16 +18,13 @@
     return true;
   }
 
-  /** One chunk of `per` tasks as text. */
-  chunk(n: number, per: number): string {
-    const from = (n * per) / 8;
-    return Buffer.from(this.bytes.subarray(from, Math.min(this.bytes.length, from + per / 8))).toString(
-      'base64',
-    );
+  /** `count` tasks from one on as text; both are multiples of eight. */
+  chunk(from: number, count: number): string {
+    const end = Math.min(this.bytes.length, (from + count) / 8);
+    return Buffer.from(this.bytes.subarray(from / 8, end)).toString('base64');
   }
 
-  load(n: number, per: number, text: string): void {
-    const from = n * per;
+  load(from: number, text: string): void {
     const bytes = Buffer.from(text, 'base64');
     for (let i = 0; i < bytes.length * 8 && from + i < this.size; i++) {
       if (bytes[i >> 3]! & (1 << (i & 7))) this.add(from + i);
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -26,9 +26,18 @@
   doubles: Set<Held>;
   /** Completed attempts that their machines may forget once the completion is stored. */
   unsettled: Held[];
-  /** Versions of its chunks of done tasks. */
-  chunkVersions: Map<number, number>;
-  dirtyChunks: Set<number>;
+  /** Versions of its chunks of done tasks, by their names in the state service. */
+  chunkVersions: Map<string, number>;
+  dirtyChunks: Set<string>;
+  /** Where the rest of its description is stored, when that is too long for one value. */
+  partsUnder: string | null;
+  /** Jobs that are not known to be done yet and have to be before any task of this one starts. */
+  waitsFor: Set<string>;
+  /** A job that it needs was cancelled: it is cancelled as well, as soon as that can be stored. */
+  doomed: boolean;
+  /** Priority and deadline, its own or those of the most urgent job that needs it. */
+  priority: number;
+  dueWall: number;
   version: number;
   state: 'active' | 'done' | 'cancelled';
   writing: boolean;
@@ -54,6 +63,9 @@
   shard: number;
   final?: 'done' | 'cancelled';
   tasks?: number;
+  /** Of an unfinished job: the jobs that it names, or where to read them. */
+  after?: string[];
+  partsUnder?: string;
 }
 
 export function jobStatus(job: Job): { status: JobStatus; done: number; running: number } {
@@ -86,6 +98,11 @@
     unsettled: [],
     chunkVersions: new Map(),
     dirtyChunks: new Set(),
+    partsUnder: null,
+    waitsFor: new Set(),
+    doomed: false,
+    priority: spec.priority,
+    dueWall: record.deadline,
     version: record.version,
     state: 'active',
     writing: false,
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -27,15 +27,23 @@
   checkpointS: v.number(),
   saveS: v.number(),
   deadlineS: v.nullable(v.number()),
+  after: v.optional(v.array(v.string()), []),
 });
-const activeValue = v.object({ shard: v.number(), tag: v.string() });
-const recordValue = v.object({
-  ...activeValue.entries,
-  spec: specValue,
-  accepted: v.number(),
-  deadline: v.number(),
+const activeValue = v.object({
+  shard: v.number(),
+  tag: v.string(),
+  /** How many parts the description has that is stored beside, since it is too long for this value. */
+  parts: v.optional(v.number()),
+  spec: v.optional(v.object({ after: v.optional(v.array(v.string())) })),
 });
-const chunkValue = v.object({ done: v.string() });
+const times = { accepted: v.number(), deadline: v.number() };
+const owned = { shard: v.number(), tag: v.string() };
+const recordValue = v.object({ ...owned, ...times, spec: specValue });
+const partedValue = v.object({ ...owned, ...times, parts: v.number() });
+/** Done tasks in chunks of a size that follows from the state service's limit, as the first version stored them. */
+const formerChunkValue = v.object({ done: v.string() });
+/** Done tasks from one on, whatever the limit is or was. */
+const chunkValue = v.object({ from: v.number(), bits: v.string() });
 const entryValue = v.object({
   shard: v.number(),
   final: v.optional(v.picklist(['done', 'cancelled'])),
@@ -61,7 +69,19 @@
 /** The shard is no longer this node's. */
 export class NotOwner extends Error {}
 
-export type Accepted = { kind: 'accepted'; version: number } | { kind: 'known'; entry: JobEntry };
+export type Accepted =
+  | { kind: 'accepted'; version: number; partsUnder: string | null }
+  | { kind: 'known'; entry: JobEntry };
+
+export interface RecordLimits {
+  valueKb: number;
+  txnOps: number;
+  /** The size of values that the former layout of done tasks follows from. */
+  layoutKb: number;
+}
+
+/** Writes of one transaction stay well below the largest request. */
+const TXN_BYTES = 40 * 1024;
 
 /**
  * The jobs of one shard in the state service. Every write holds only while the shard's owner key has this term, so a
@@ -69,15 +89,19 @@
  * made from, so a late one cannot undo what came after it here.
  */
 export class JobRecords {
-  readonly perChunk: number;
+  private readonly perChunk: number;
+  private readonly formerPerChunk: number;
 
   constructor(
     private readonly store: StateStore,
     private readonly shard: number,
     private readonly term: number,
-    private readonly limits: { valueKb: number; txnOps: number },
+    private readonly limits: RecordLimits,
+    /** Whether every node reads what the first version did not know. */
+    private readonly allRead: () => boolean,
   ) {
     this.perChunk = chunkTasks(limits.valueKb);
+    this.formerPerChunk = chunkTasks(limits.layoutKb);
   }
 
   private get owned(): Condition {
@@ -102,7 +126,18 @@
   async accept(record: JobRecord, tag: string): Promise<Accepted> {
     const id = record.spec.id;
     const key = KEYS.activeJob(id);
-    const value = { ...record, shard: this.shard, tag };
+    let value: object = { ...record, shard: this.shard, tag };
+    let partsUnder: string | null = null;
+    if (jsonBytes(value) > valueBytes(this.limits.valueKb)) {
+      if (this.allRead()) {
+        partsUnder = KEYS.parts(id, tag);
+        const parts = await this.storeParts(record.spec, tag);
+        value = { accepted: record.accepted, deadline: record.deadline, shard: this.shard, tag, parts };
+      } else if (jsonBytes(value) > valueBytes(this.limits.layoutKb)) {
+        // Once all nodes run this version it is stored in parts.
+        throw new StateFailure(`the description of ${id} is too long for now`, false);
+      }
+    }
     try {
       const result = await this.write(
         [
@@ -111,20 +146,83 @@
         ],
         [{ put: key, value }],
       );
-      if (result.ok) return { kind: 'accepted', version: result.revision };
+      if (result.ok) return { kind: 'accepted', version: result.revision, partsUnder };
     } catch (error) {
       // Nobody knows whether a write without an answer was made: only reading it back tells.
       if (!(error instanceof StateFailure) || !error.maybe) throw error;
     }
     const stored = await this.store.get(key);
-    if (stored && readActive(stored.value)?.tag === tag) return { kind: 'accepted', version: stored.version };
+    if (stored && readActive(stored.value)?.tag === tag)
+      return { kind: 'accepted', version: stored.version, partsUnder };
     const entry = await this.entry(id);
     if (!entry) throw new StateFailure(`acceptance of ${id} is not decided`, true);
+    if (partsUnder !== null) void this.sweepParts(partsUnder);
     return { kind: 'known', entry };
   }
 
+  /** Stores a description that is too long for one value, before the job is accepted; returns in how many parts. */
+  private async storeParts(spec: JobSpec, tag: string): Promise<number> {
+    const bytes = Buffer.from(JSON.stringify(spec));
+    const per = Math.max(30, Math.floor((valueBytes(this.limits.valueKb) / 4) * 3) - 6);
+    const writes: Write[] = [];
+    for (let from = 0; from < bytes.length; from += per) {
+      const value = bytes.subarray(from, from + per).toString('base64');
+      writes.push({ put: KEYS.part(spec.id, tag, writes.length), value });
+    }
+    const together = Math.max(1, Math.min(this.limits.txnOps, Math.floor(TXN_BYTES / (per * 1.4))));
+    for (let i = 0; i < writes.length; i += together) await this.write([], writes.slice(i, i + together));
+    return writes.length;
+  }
+
+  /** The chunk that a task is in, by its name. */
+  chunkOf(job: Job, task: number): string {
+    // One chunk holds them all: both layouts are the same.
+    if (job.spec.tasks <= this.perChunk) return '0';
+    if (this.allRead()) return `at${Math.floor(task / this.perChunk) * this.perChunk}`;
+    return String(Math.floor(task / this.formerPerChunk));
+  }
+
+  private chunkValue(job: Job, name: string): object {
+    if (!name.startsWith('at'))
+      return { done: job.done.chunk(Number(name) * this.formerPerChunk, this.formerPerChunk) };
+    const from = Number(name.slice(2));
+    return { from, bits: job.done.chunk(from, this.perChunk) };
+  }
+
+  /** Takes over what was stored of a job's done tasks, in either layout. */
+  restore(job: Job, chunks: LoadedJob['chunks']): void {
+    for (const c of chunks) {
+      job.done.load(c.from ?? Number(c.name) * this.formerPerChunk, c.bits);
+      job.chunkVersions.set(c.name, c.version);
+    }
+    job.stored = job.done.count;
+    // What is in the former layout is stored in the one that the record states, as soon as everybody reads that: the
+    // former one is readable only as long as the state service's limit in the settings stays.
+    if (!this.allRead() || !this.former(job).length) return;
+    for (let i = 0; i < job.spec.tasks; i++) if (job.done.has(i)) job.dirtyChunks.add(this.chunkOf(job, i));
+    job.stored = 0;
+  }
+
+  private former(job: Job): string[] {
+    if (job.spec.tasks <= this.perChunk) return [];
+    return [...job.chunkVersions.keys()].filter((name) => !name.startsWith('at'));
+  }
+
+  /** What was to be stored in the former layout goes into the other, once everybody reads that. */
+  private restate(job: Job): void {
+    if (job.spec.tasks <= this.perChunk || !this.allRead()) return;
+    for (const name of [...job.dirtyChunks]) {
+      if (name.startsWith('at')) continue;
+      job.dirtyChunks.delete(name);
+      const end = Math.min(job.spec.tasks, (Number(name) + 1) * this.formerPerChunk);
+      const first = Number(name) * this.formerPerChunk;
+      for (let i = first; i < end; i++) if (job.done.has(i)) job.dirtyChunks.add(this.chunkOf(job, i));
+    }
+  }
+
   /** Stores the tasks that are done; false when it has to be tried again. */
   async storeDone(job: Job): Promise<boolean> {
+    this.restate(job);
     const chunks = [...job.dirtyChunks].slice(0, Math.max(1, this.limits.txnOps));
     const count = job.done.count;
     for (const n of chunks) job.dirtyChunks.delete(n);
@@ -132,11 +230,14 @@
     try {
       const result = await this.write(
         chunks.map((n, i) => ({ key: keys[i]!, version: job.chunkVersions.get(n) ?? 0 })),
-        chunks.map((n, i) => ({ put: keys[i]!, value: { done: job.done.chunk(n, this.perChunk) } })),
+        chunks.map((n, i) => ({ put: keys[i]!, value: this.chunkValue(job, n) })),
       );
       if (result.ok) {
         for (const n of chunks) job.chunkVersions.set(n, result.revision);
-        if (job.dirtyChunks.size === 0) job.stored = count;
+        if (job.dirtyChunks.size === 0) {
+          job.stored = count;
+          await this.dropFormer(job);
+        }
         return true;
       }
       await this.refreshVersions(job, chunks);
@@ -149,7 +250,23 @@
     return false;
   }
 
-  private async refreshVersions(job: Job, chunks: number[]): Promise<void> {
+  /** All that chunks of the former layout held is stored in the other by now. */
+  private async dropFormer(job: Job): Promise<void> {
+    if (!this.allRead()) return;
+    const former = this.former(job);
+    const stated = [...job.chunkVersions.keys()].some((name) => name.startsWith('at'));
+    if (former.length === 0 || !stated) return;
+    for (let i = 0; i < job.spec.tasks; i++)
+      if (job.done.has(i) && !job.chunkVersions.has(this.chunkOf(job, i))) return;
+    const part = former.slice(0, this.limits.txnOps);
+    const result = await this.write(
+      [],
+      part.map((name) => ({ delete: KEYS.chunk(job.spec.id, name) })),
+    );
+    if (result.ok) for (const name of part) job.chunkVersions.delete(name);
+  }
+
+  private async refreshVersions(job: Job, chunks: string[]): Promise<void> {
     for (const n of chunks) {
       const stored = await this.store.get(KEYS.chunk(job.spec.id, n));
       if (stored) job.chunkVersions.set(n, stored.version);
@@ -160,22 +277,49 @@
   async finish(job: Job, final: 'done' | 'cancelled'): Promise<'done' | 'cancelled'> {
     const id = job.spec.id;
     const entry: JobEntry = { shard: this.shard, final, tasks: job.spec.tasks };
-    const writes: Write[] = [{ put: KEYS.job(id), value: entry }, { delete: KEYS.activeJob(id) }];
-    for (const n of job.chunkVersions.keys()) writes.push({ delete: KEYS.chunk(id, n) });
+    const drops: Write[] = [...job.chunkVersions.keys()].map((n) => ({ delete: KEYS.chunk(id, n) }));
+    const writes: Write[] = [{ put: KEYS.job(id), value: entry }, { delete: KEYS.activeJob(id) }, ...drops];
+    const sweep = () => {
+      if (writes.length > this.limits.txnOps) void this.sweep(writes.slice(this.limits.txnOps));
+      if (job.partsUnder !== null) void this.sweepParts(job.partsUnder);
+    };
     try {
       // Condition on the active record: a late copy of this write finds it gone.
       const result = await this.write(
         [{ key: KEYS.activeJob(id), version: job.version }],
-        writes.slice(0, this.limits.txnOps),
+        writes.slice(0, Math.max(2, this.limits.txnOps)),
       );
-      if (result.ok) return final;
+      if (result.ok) {
+        sweep();
+        return final;
+      }
     } catch (error) {
       if (!(error instanceof StateFailure) || !error.maybe) throw error;
     }
     const stored = await this.store.get(KEYS.job(id));
     const known = stored && readJobEntry(stored.value);
-    if (known?.final) return known.final;
-    throw new StateFailure(`end of ${id} is not decided`, true);
+    if (!known?.final) throw new StateFailure(`end of ${id} is not decided`, true);
+    sweep();
+    return known.final;
+  }
+
+  /** Drops what is of no more use. What is left over when that fails is read by nobody. */
+  private async sweep(drops: Write[]): Promise<void> {
+    const per = Math.max(1, this.limits.txnOps);
+    try {
+      for (let i = 0; i < drops.length; i += per) await this.store.txn([], drops.slice(i, i + per));
+    } catch (error) {
+      if (!(error instanceof StateFailure)) throw error;
+    }
+  }
+
+  private async sweepParts(under: string): Promise<void> {
+    try {
+      const { entries } = await this.store.list(under);
+      await this.sweep(entries.map((e) => ({ delete: e.key })));
+    } catch (error) {
+      if (!(error instanceof StateFailure)) throw error;
+    }
   }
 
   /** All unfinished jobs of the shard with their done tasks, as the state service has them. */
@@ -187,16 +331,30 @@
       if (id === undefined) continue;
       if (chunk === undefined) {
         if (readActive(e.value)?.shard !== this.shard) continue;
-        const p = v.safeParse(recordValue, e.value);
-        if (p.success) byId.set(id, { record: p.output, version: e.version, chunks: [] });
+        const loaded = await this.read(id, e);
+        if (loaded) byId.set(id, loaded);
         continue;
       }
-      const p = v.safeParse(chunkValue, e.value);
-      if (p.success) byId.get(id)?.chunks.push({ n: Number(chunk), done: p.output.done, version: e.version });
+      const former = v.safeParse(formerChunkValue, e.value);
+      const stated = v.safeParse(chunkValue, e.value);
+      const read = { name: chunk, version: e.version };
+      if (stated.success) byId.get(id)?.chunks.push({ ...read, ...stated.output });
+      else if (former.success) byId.get(id)?.chunks.push({ ...read, from: null, bits: former.output.done });
     }
     return [...byId.values()];
   }
 
+  private async read(id: string, e: Entry): Promise<LoadedJob | null> {
+    const whole = v.safeParse(recordValue, e.value);
+    if (whole.success) return { record: whole.output, version: e.version, chunks: [], partsUnder: null };
+    const parted = v.safeParse(partedValue, e.value);
+    if (!parted.success) return null;
+    const { accepted, deadline, tag, parts } = parted.output;
+    const partsUnder = KEYS.parts(id, tag);
+    const spec = await readParts(this.store, partsUnder, parts);
+    return spec && { record: { spec, accepted, deadline }, version: e.version, chunks: [], partsUnder };
+  }
+
   /** One unfinished job, when it is stored. */
   async loadOne(id: string): Promise<LoadedJob | null> {
     const all = await this.load(KEYS.activeJob(id));
@@ -214,7 +372,10 @@
 ): Promise<JobEntry | null> {
   const active = await read(KEYS.activeJob(id));
   const found = active && readActive(active.value);
-  if (found) return { shard: found.shard };
+  if (found) {
+    if (found.parts !== undefined) return { shard: found.shard, partsUnder: KEYS.parts(id, found.tag) };
+    return { shard: found.shard, after: found.spec?.after ?? [] };
+  }
   const ended = await read(KEYS.job(id));
   return ended && readJobEntry(ended.value);
 }
@@ -222,5 +383,34 @@
 export interface LoadedJob {
   record: JobRecord;
   version: number;
-  chunks: { n: number; done: string; version: number }[];
+  /** `from` is null in the former layout: it follows from the chunk's name and the limit of values. */
+  chunks: { name: string; from: number | null; bits: string; version: number }[];
+  partsUnder: string | null;
+}
+
+/** A description that was stored in parts; null when one of them, or how many there are (`count`), is not right. */
+export async function readParts(
+  store: Pick<StateStore, 'list'>,
+  under: string,
+  count: number | null,
+): Promise<JobSpec | null> {
+  const { entries } = await store.list(under);
+  const parts: string[] = [];
+  for (const e of entries) parts[Number(e.key.slice(under.length))] = String(e.value);
+  if (count !== null && entries.length !== count) return null;
+  const bytes = Buffer.concat(parts.map((p) => Buffer.from(p, 'base64')));
+  try {
+    return readSpec(JSON.parse(bytes.toString('utf8')));
+  } catch {
+    return null;
+  }
+}
+
+/** Bytes that a value may have, with some room for what the service counts beside. */
+export function valueBytes(valueKb: number): number {
+  return valueKb * 1000;
+}
+
+function jsonBytes(value: object): number {
+  return Buffer.byteLength(JSON.stringify(value));
 }
--- /dev/null
+++ b/src/jobs/standing.ts
@@ -0,0 +1,43 @@
+import { StateFailure, type StateStore } from '../state/store.js';
+import type { JobEntry } from './job.js';
+import { findJob, readParts } from './records.js';
+
+/** So many jobs are read for one answer; of what needs more nothing is said for now. */
+const READ_MOST = 24;
+
+/** Whether an unfinished job names others, as far as its record says without reading more. */
+export function waits(entry: JobEntry): boolean {
+  return entry.partsUnder !== undefined || (entry.after?.length ?? 0) > 0;
+}
+
+/**
+ * How a job stands by the state service alone: for when its owner cannot be asked. A job of which one that it needs, directly
+ * or through others, is cancelled will be cancelled as well, but is not yet: of such a job, and where too much would have
+ * to be read, the answer is `unsure`.
+ */
+export async function standing(
+  store: Pick<StateStore, 'look' | 'list'>,
+  id: string,
+): Promise<'active' | 'done' | 'cancelled' | 'unsure'> {
+  const seen = new Set([id]);
+  const queue = [id];
+  for (let at = queue.shift(); at !== undefined; at = queue.shift()) {
+    if (seen.size > READ_MOST) return 'unsure';
+    const entry = await findJob((key) => store.look(key), at);
+    if (!entry) throw new StateFailure(`no record of ${at}`, false);
+    if (at === id && entry.final) return entry.final;
+    if (entry.final === 'cancelled') return 'unsure';
+    let after = entry.after ?? [];
+    if (entry.partsUnder !== undefined) {
+      const spec = await readParts(store, entry.partsUnder, null);
+      if (!spec) return 'unsure';
+      after = spec.after;
+    }
+    for (const next of after) {
+      if (seen.has(next)) continue;
+      seen.add(next);
+      queue.push(next);
+    }
+  }
+  return 'active';
+}
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -38,6 +38,8 @@
   imageGb: number;
   runS: number;
   deadline: number;
+  /** It begins no earlier, since other jobs have to be done before. */
+  from?: number;
   /** All tasks of the job, for `spread`. */
   total: number;
   /** Unstarted tasks to be booked. */
@@ -163,7 +165,7 @@
     const left: number[] = [];
     for (const task of job.tasks) {
       const p = places.get(task);
-      if (!p || p.start <= this.now || !this.allowed(job, p.machine, job.zone)) {
+      if (!p || p.start <= this.from(job) || !this.allowed(job, p.machine, job.zone)) {
         left.push(task);
         continue;
       }
@@ -178,7 +180,12 @@
     return left;
   }
 
+  private from(job: PlanJob): number {
+    return Math.max(this.now, job.from ?? this.now);
+  }
+
   private keepGang(job: PlanJob, places: ReadonlyMap<number, KeptPlace>): number[] {
+    if (this.from(job) > this.now) return job.tasks;
     if (this.gangNow(job)) return [];
     const counts = new Map<number, number>();
     let start = Number.NaN;
@@ -269,7 +276,7 @@
     let open: number[] = [];
     const roomy = this.roomyFor(this.bookings.filter((b) => b.start > this.now).map((b) => b.job));
     for (const b of this.bookings) {
-      if (b.start <= this.now || b.job.kind === 'gang') continue;
+      if (b.start <= this.now || b.job.kind === 'gang' || this.from(b.job) > this.now) continue;
       if (b.job !== job) {
         job = b.job;
         open = this.openNow(job, roomy);
@@ -381,16 +388,17 @@
     const half = Math.ceil(job.total / 2);
     const tasks = job.tasks.slice(0, BOOKED_TASKS);
     const team = this.teams.get(job.team);
-    let teamFrom = this.now;
+    const first = this.from(job);
+    let teamFrom = first;
     let longest = 0;
     for (let m = 0; m < this.machines.length; m++) {
       this.starts[m] = NEVER;
       if (!this.allowed(job, m, zone)) continue;
       this.spans[m] = this.spanOn(job, m);
       longest = Math.max(longest, this.spans[m]!);
-      this.estimate(job, m, this.now);
+      this.estimate(job, m, first);
     }
-    let finish = this.now;
+    let finish = first;
     let placed = 0;
     let m = -1;
     let start = NEVER;
@@ -420,7 +428,7 @@
     }
     if (placed < tasks.length) return null;
     // The tasks beyond those booked take their time at the same pace.
-    return this.now + (finish - this.now) * Math.max(1, job.tasks.length / Math.max(1, tasks.length));
+    return first + (finish - first) * Math.max(1, job.tasks.length / Math.max(1, tasks.length));
   }
 
   private estimate(job: PlanJob, m: number, from: number): void {
@@ -499,7 +507,7 @@
 
   private bookGang(job: PlanJob): number | null {
     const n = job.tasks.length;
-    if (n === 0) return this.now;
+    if (n === 0) return this.from(job);
     if (n > MAX_GANG) return null;
     const team = this.teams.get(job.team);
     const whole = { cpus: job.need.cpus * n, gpus: job.need.gpus * n, memoryGb: 0 };
@@ -524,7 +532,7 @@
     // Some time everything in a zone is free.
     for (const [zone, count] of together) {
       if (count < n) continue;
-      let at = this.now;
+      let at = this.from(job);
       for (const [m, p] of this.profiles.entries()) {
         if (this.allowed(job, m, zone)) at = Math.max(at, p.freeFrom);
       }
@@ -547,7 +555,7 @@
       const profile = this.profiles[m]!;
       const span = this.spanOn(job, m);
       this.looks++;
-      const at = profile.earliest(this.now, span, job.need);
+      const at = profile.earliest(this.from(job), span, job.need);
       if (at === null) continue;
       const most = fitCount(this.machines[m]!.size, job.need, n);
       const count = profile.room(at, span, job.need, most);
--- a/src/shards/demand.ts
+++ b/src/shards/demand.ts
@@ -104,7 +104,7 @@
     }
     for (const job of waiting.keys()) if (job.suspect) waiting.delete(job);
     for (const [job, w] of [...waiting].sort(
-      (a, b) => b[0].spec.priority - a[0].spec.priority || a[0].order - b[0].order,
+      (a, b) => b[0].priority - a[0].priority || a[0].order - b[0].order,
     )) {
       const cap = this.underCap(job, usage);
       const soon = Math.min(w.soon, cap);
@@ -132,7 +132,8 @@
     const slots = new Map<string, number>();
     let seconds = 0;
     for (const job of this.jobs.values()) {
-      if (job.spec.priority < PRIORITY.high || job.spec.kind === 'service' || job.notBefore > now) continue;
+      if (job.priority < PRIORITY.high || job.spec.kind === 'service' || job.notBefore > now) continue;
+      if (job.waitsFor.size > 0) continue;
       if (job.spec.kind === 'gang' && job.places.size > 0) continue;
       const open = openCount(job);
       if (open === 0) continue;
@@ -165,9 +166,9 @@
       gpus: job.need.gpus,
       memoryGb: job.need.memoryGb,
       count,
-      priority: job.spec.priority,
+      priority: job.priority,
       guaranteed: this.hooks.guaranteed(job),
-      deadline: job.deadlineWall,
+      deadline: job.dueWall,
       waitS,
     };
   }
@@ -224,7 +225,7 @@
       )
         continue;
       let top = 0;
-      for (const h of m.held.values()) top = Math.max(top, this.jobs.get(h.job)?.spec.priority ?? 0);
+      for (const h of m.held.values()) top = Math.max(top, this.jobs.get(h.job)?.priority ?? 0);
       soft.push({
         id: m.id,
         type: n.types.name(m.type),
--- a/src/shards/keys.ts
+++ b/src/shards/keys.ts
@@ -12,21 +12,37 @@
   /** Questions to owners that cannot be reached directly, and their answers. */
   mail: 'c/mail/',
   teams: 'c/teams',
+  /** The rest of a parting of teams that is too long for one value. */
+  moreTeams: (n: number) => `c/teams/${n}`,
+  /** What a node's newest version understands; stays when the node is away. */
+  speaks: (name: string) => `c/speaks/${name}`,
   types: 'c/types',
   /** How a job ended; never deleted. */
   job: (id: string) => `job/${id}`,
   /** Unfinished jobs of all shards, and their done tasks. */
   active: 'act/',
   activeJob: (id: string) => `act/${id}`,
-  chunk: (id: string, chunk: number) => `act/${id}/${chunk}`,
+  chunk: (id: string, chunk: number | string) => `act/${id}/${chunk}`,
+  /** A piece of a job's description that is too long for one value. */
+  part: (id: string, tag: string, n: number) => `part/${id}/${tag}/${n}`,
+  parts: (id: string, tag: string) => `part/${id}/${tag}/`,
 };
 
+/**
+ * What a version understands of the others' records and messages. Level 2: jobs that wait for others, descriptions in
+ * parts, done tasks whose layout the record states, partings of teams in several records. Nothing of a level is written
+ * or sent before every node understands it: an older one would drop what it cannot read.
+ */
+export const LEVEL = 2;
+
 const holder = v.object({
   node: v.string(),
   run: v.string(),
   lease: v.number(),
   /** In the key of a node: the workers cannot reach it, and it takes no shard. */
   aside: v.optional(v.boolean()),
+  /** In the key of a node: which level of records and messages it understands. The first version says nothing. */
+  speaks: v.optional(v.number()),
 });
 export type Holder = v.InferOutput<typeof holder>;
 
@@ -54,7 +70,16 @@
 
 const teamsRecord = v.record(v.string(), v.number());
 
-export function readTeams(value: unknown): Record<string, number> | null {
+function readTeams(value: unknown): Record<string, number> | null {
   const p = v.safeParse(teamsRecord, value);
   return p.success ? p.output : null;
 }
+
+/** Which shard each team belongs to, from all records that hold it; null when teams have not been parted. */
+export function readParting(entries: ReadonlyMap<string, { value: unknown }>): Record<string, number> | null {
+  const first = entries.get(KEYS.teams);
+  let parting = first ? readTeams(first.value) : null;
+  for (let n = 1; parting && entries.has(KEYS.moreTeams(n)); n++)
+    parting = { ...readTeams(entries.get(KEYS.moreTeams(n))!.value), ...parting };
+  return parting;
+}
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -1,10 +1,11 @@
 import { mostMachines } from '../config/settings.js';
+import { valueBytes } from '../jobs/records.js';
 import { fitCount } from '../plan/profile.js';
 import { StateFailure } from '../state/store.js';
 import type { ListedMachine } from '../wire/cloud.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Gossip, Need, Spare } from './gossip.js';
-import { KEYS, type MachineRecord, readTeams } from './keys.js';
+import { KEYS, type MachineRecord, readParting } from './keys.js';
 import type { Mirror } from './mirror.js';
 import type { World } from './world.js';
 
@@ -23,6 +24,7 @@
 const GIVEN_MS = 2500;
 /** Machines dealt in one transaction; together with their conditions they stay well below the largest request. */
 const DEALT_TOGETHER = 24;
+const DEALT_LEAST = 12;
 /** Lesser work elsewhere is stopped for urgent tasks only when they would wait longer than this, one machine at a time. */
 const CLEAR_WAIT_S = 8;
 const CLEAR_PAUSE_MS = 700;
@@ -64,6 +66,8 @@
       priority: number,
     ) => Promise<boolean>,
     private readonly cede: (shard: number, to: number, need: Need, zone: string) => Promise<boolean>,
+    /** Whether every node understands what the first version did not. */
+    private readonly allRead: () => boolean,
   ) {}
 
   start(): void {
@@ -122,21 +126,24 @@
 
   /** Teams stay in the shard that they were given; new ones go where the guarantees weigh least. */
   private async partTeams(): Promise<void> {
-    const entry = this.mirror.entries.get(KEYS.teams);
-    const known = (entry && readTeams(entry.value)) ?? {};
+    const known = readParting(this.mirror.entries) ?? {};
     const fresh = this.world.settings.teams.filter((t) => known[t.name] === undefined);
-    if ((entry && fresh.length === 0) || this.parting) return;
+    if ((this.mirror.entries.has(KEYS.teams) && fresh.length === 0) || this.parting) return;
     this.parting = true;
     try {
-      const parted = partTeams(this.world.settings.teams, known, this.shards);
-      const result = await this.world.store.txn(
-        [
-          { key: KEYS.leader, version: this.term },
-          { key: KEYS.teams, version: entry?.version ?? 0 },
-        ],
-        [{ put: KEYS.teams, value: parted }],
-      );
-      if (result.ok) this.mirror.apply({ key: KEYS.teams, value: parted, version: result.revision });
+      const records = this.partingRecords(partTeams(this.world.settings.teams, known, this.shards));
+      for (const [key, value] of records) {
+        const version = this.mirror.entries.get(key)?.version ?? 0;
+        const result = await this.world.store.txn(
+          [
+            { key: KEYS.leader, version: this.term },
+            { key, version },
+          ],
+          [{ put: key, value }],
+        );
+        if (!result.ok) break;
+        this.mirror.apply({ key, value, version: result.revision });
+      }
     } catch (error) {
       this.world.log.info({ error: String(error) }, 'parting teams failed');
     } finally {
@@ -144,6 +151,26 @@
     }
   }
 
+  /** The parting in as many records as the state service's limit asks for, the first last: it tells that all are there. */
+  private partingRecords(parted: Record<string, number>): [string, Record<string, number>][] {
+    const most = valueBytes(this.world.settings.stateLimits.valueKb);
+    if (!this.allRead()) return [[KEYS.teams, parted]];
+    const records: Record<string, number>[] = [{}];
+    let bytes = 2;
+    for (const [team, shard] of Object.entries(parted)) {
+      const more = Buffer.byteLength(JSON.stringify({ [team]: shard }));
+      if (bytes + more > most) {
+        records.push({});
+        bytes = 2;
+      }
+      bytes += more;
+      records.at(-1)![team] = shard;
+    }
+    return records
+      .map((r, n): [string, Record<string, number>] => [n === 0 ? KEYS.teams : KEYS.moreTeams(n), r])
+      .reverse();
+  }
+
   // --- machines that nobody has
 
   private async deal(): Promise<void> {
@@ -157,24 +184,26 @@
     if (due.length === 0 || !this.mirror.entries.has(KEYS.teams)) return;
     this.dealing = true;
     try {
-      const part = due.slice(0, Math.min(DEALT_TOGETHER, this.world.settings.stateLimits.txnOps));
+      const { txnOps } = this.world.settings.stateLimits;
+      const together = Math.min(DEALT_TOGETHER, txnOps);
       const counts = this.machineCounts();
-      const records = part.map((s): [string, MachineRecord] => [s.id, this.recordFor(s, counts)]);
-      const result = await this.world.store.txn(
-        [
-          { key: KEYS.leader, version: this.term },
-          ...records.map(([id]) => ({ key: KEYS.machine(id), version: 0 })),
-        ],
-        records.map(([id, value]) => ({ put: KEYS.machine(id), value })),
-      );
-      if (result.ok) {
+      // Where few fit a transaction, several follow each other: machines that are up must not wait for it.
+      for (let i = 0; i < Math.max(DEALT_LEAST, together); i += together) {
+        const part = due.slice(i, i + together);
+        if (part.length === 0) break;
+        const records = part.map((s): [string, MachineRecord] => [s.id, this.recordFor(s, counts)]);
+        const result = await this.world.store.txn(
+          [
+            { key: KEYS.leader, version: this.term },
+            ...records.map(([id]) => ({ key: KEYS.machine(id), version: 0 })),
+          ],
+          records.map(([id, value]) => ({ put: KEYS.machine(id), value })),
+        );
         for (const [id, value] of records) {
-          this.mirror.apply({ key: KEYS.machine(id), value, version: result.revision });
-          this.strays.delete(id);
+          // One that failed has a record that this copy does not show yet.
+          if (result.ok) this.mirror.apply({ key: KEYS.machine(id), value, version: result.revision });
+          if (result.ok || result.failed.includes(KEYS.machine(id))) this.strays.delete(id);
         }
-      } else {
-        // One of them has a record that this copy does not show yet.
-        for (const [id] of records) if (result.failed.includes(KEYS.machine(id))) this.strays.delete(id);
       }
     } catch (error) {
       if (!(error instanceof StateFailure)) throw error;
@@ -257,7 +286,7 @@
 
   private weights(): number[] {
     const weights = new Array<number>(this.shards).fill(0.01);
-    const parted = readTeams(this.mirror.entries.get(KEYS.teams)?.value) ?? {};
+    const parted = readParting(this.mirror.entries) ?? {};
     for (const t of this.world.settings.teams) {
       const shard = parted[t.name];
       if (shard !== undefined && weights[shard] !== undefined) weights[shard]! += t.cpus + 10 * t.gpus + 1;
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -1,7 +1,7 @@
 import { type Clock, DRIFT, pause } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
 import { StateFailure, type StateStore } from '../state/store.js';
-import { type Holder, KEYS, readHolder } from './keys.js';
+import { type Holder, KEYS, LEVEL, readHolder } from './keys.js';
 import { Mirror } from './mirror.js';
 
 export const LEASE_MS = 8000;
@@ -57,6 +57,35 @@
     return { node: this.node, run: this.run, lease: this.lease ?? 0 };
   }
 
+  private get presence(): Holder {
+    return { ...this.holder, speaks: LEVEL };
+  }
+
+  /**
+   * Whether every one of these nodes understands a level. A node that is there says so itself, so that one that came back
+   * with an older version counts as that; of one that is away, the last that it said counts.
+   */
+  allSpeak(nodes: readonly string[], level: number): boolean {
+    return nodes.every((n) => {
+      const e = this.mirror.entries.get(KEYS.node(n));
+      if (e) return (readHolder(e.value)?.speaks ?? 1) >= level;
+      const said = this.mirror.entries.get(KEYS.speaks(n))?.value;
+      return typeof said === 'number' && said >= level;
+    });
+  }
+
+  /** Says for good what this node understands. */
+  private async tellLevel(): Promise<void> {
+    const key = KEYS.speaks(this.node);
+    try {
+      const known = await this.store.get(key);
+      if (known?.value !== LEVEL) await this.store.txn([], [{ put: key, value: LEVEL }]);
+    } catch (error) {
+      this.log.info({ error: String(error) }, 'level not told');
+      this.clock.after(RETRY_MS * 5, () => void this.tellLevel());
+    }
+  }
+
   owner(shard: number): Holder | null {
     const e = this.mirror.entries.get(KEYS.owner(shard));
     return e ? readHolder(e.value) : null;
@@ -80,7 +109,7 @@
   /** Tells the others whether this node takes shards. */
   async tellAside(aside: boolean): Promise<void> {
     if (this.lease === null) return;
-    const value = { ...this.holder, aside };
+    const value = { ...this.presence, aside };
     await this.store.txn([], [{ put: KEYS.node(this.node), value, lease: this.lease }], true);
   }
 
@@ -97,6 +126,7 @@
       }
     }
     void this.keep();
+    void this.tellLevel();
   }
 
   /** A run of this node before this one is dead: its lease need not be waited out. */
@@ -109,7 +139,11 @@
   private async join(): Promise<void> {
     const sent = this.clock.now();
     const lease = await this.store.grant(LEASE_MS);
-    await this.store.txn([], [{ put: KEYS.node(this.node), value: { ...this.holder, lease }, lease }], true);
+    await this.store.txn(
+      [],
+      [{ put: KEYS.node(this.node), value: { ...this.presence, lease }, lease }],
+      true,
+    );
     this.lease = lease;
     this.extend(sent);
   }
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -1,17 +1,19 @@
 import { pause } from '../clock/clock.js';
 import { isGuest, type JobEntry } from '../jobs/job.js';
 import { findJob, readSpec } from '../jobs/records.js';
+import { standing, waits } from '../jobs/standing.js';
 import { Answered, type Mesh } from '../peer/mesh.js';
 import type { Entry } from '../wire/state.js';
 import type { JobSpec } from '../wire/users.js';
 import { type Report, WORKER_PATHS } from '../wire/workers.js';
 import { type Need, readGossip, readNeed } from './gossip.js';
-import { KEYS, readMachineRecord, readTeams } from './keys.js';
+import { KEYS, LEVEL, readMachineRecord, readParting } from './keys.js';
 import { Leader, type Stray } from './leader.js';
 import { Mailbox } from './mailbox.js';
 import { Members } from './members.js';
 import { Reach } from './reach.js';
 import { Shard, type StatusAnswer, type SubmitAnswer, Unavailable } from './shard.js';
+import { type Claim, readClaims, readStandings, type Standing } from './waiting.js';
 import type { World } from './world.js';
 
 export type ReportAnswer =
@@ -33,7 +35,9 @@
 /** An owner that has answered neither directly nor by letter is not written to for this long: users are told at once. */
 const NO_LETTERS_MS = 2500;
 const MAIL_MS = 1000;
-const MAILED = new Set(['submit', 'cancel']);
+const MAILED = new Set(['submit', 'submitAfter', 'cancel']);
+/** Owners ask each other often what has become of jobs, and the state service when there is no answer. */
+const ASK_NEEDED_MS = 2000;
 /** How long a shard stays its dead home node's to take again. */
 const ADOPT_AFTER_MS = 1500;
 const HAND_BACK_AFTER_MS = 6000;
@@ -277,6 +281,7 @@
       term,
       () => this.members.validUnder(lease),
       () => this.drop(shard),
+      this.others,
     );
     this.shards.set(k, shard);
     void shard.start();
@@ -347,6 +352,7 @@
       (shard, machine, to) => this.giveAway(shard, machine, to),
       (shard, machine, to, priority) => this.vacate(shard, machine, to, priority),
       (shard, to, need, zone) => this.cede(shard, to, need, zone),
+      () => this.allRead,
     );
     this.leader.start();
     this.leader.listed(this.world.catalog.listed);
@@ -468,6 +474,13 @@
         const need = readNeed(a.need);
         return shard && need ? shard.cede(Number(a.to), need, String(a.zone)) : false;
       }
+      case 'needed':
+        return this.local(a.shard).neededBy(Number(a.from), readClaims(a.claims));
+      case 'over':
+        if (a.status === 'done' || a.status === 'cancelled')
+          this.shards.get(Number(a.shard))?.overElsewhere(String(a.id), a.status);
+        return null;
+      case 'submitAfter':
       case 'submit': {
         const spec = readSpec(a.spec);
         if (!spec) throw new Error('bad job');
@@ -518,6 +531,31 @@
     }
   }
 
+  /** Whether every node understands what the first version did not. */
+  private get allRead(): boolean {
+    return this.members.allSpeak(this.order, LEVEL);
+  }
+
+  /** What a shard here needs of the others. */
+  private readonly others = {
+    allRead: () => this.allRead,
+    locate: (id: string) => this.locate(id),
+    read: (id: string) => standing(this.world.store, id),
+    askNeeded: async (shard: number, from: number, claims: Claim[]): Promise<Standing[]> => {
+      const local = this.shards.get(shard);
+      if (local) return local.neededBy(from, claims);
+      const owner = this.members.owner(shard);
+      if (!owner || !this.mesh) throw new Unavailable('no owner at present');
+      return readStandings(await this.mesh.ask(owner.node, 'needed', { shard, from, claims }, ASK_NEEDED_MS));
+    },
+    tellOver: (shard: number, id: string, status: 'done' | 'cancelled') => {
+      const local = this.shards.get(shard);
+      const owner = this.members.owner(shard);
+      if (local) local.overElsewhere(id, status);
+      else if (owner) this.mesh?.tell(owner.node, 'over', { shard, id, status });
+    },
+  };
+
   // --- users
 
   /**
@@ -528,8 +566,7 @@
   shardOf(spec: JobSpec): number | null {
     const { teams, nodes } = this.world.settings;
     if (teams.length === 0) return hash(spec.id) % nodes;
-    const entry = this.members.mirror.entries.get(KEYS.teams);
-    const parted = entry && readTeams(entry.value);
+    const parted = readParting(this.members.mirror.entries);
     const own = parted?.[spec.team];
     if (!parted || own === undefined) return null;
     const team = teams.find((t) => t.name === spec.team);
@@ -540,8 +577,8 @@
     return among.length === 0 ? own : among[hash(spec.id) % among.length]!;
   }
 
-  private remember(id: string, entry: JobEntry): void {
-    this.routes.set(id, entry);
+  private remember(id: string, { shard, final, tasks }: JobEntry): void {
+    this.routes.set(id, final ? { shard, final, tasks: tasks ?? 0 } : { shard });
     if (this.routes.size > ROUTES_KEPT) this.routes.delete(this.routes.keys().next().value!);
   }
 
@@ -564,6 +601,9 @@
     const entry = await findJob((key) => this.world.store.look(key), id);
     if (!entry) return null;
     this.remember(id, entry);
+    // While it waits, one that it needs may have been cancelled, and it must not be called queued for long then.
+    if (!entry.final && waits(entry) && (await standing(this.world.store, id)) !== 'active')
+      throw new Unavailable('what the job waits for is not known now');
     const done = entry.final === 'done' ? (entry.tasks ?? 0) : 0;
     return { status: entry.final ?? 'queued', done, running: 0 };
   }
@@ -573,9 +613,13 @@
     if (known?.final) return { kind: 'known', status: known.final };
     const shard = known?.shard ?? this.shardOf(spec);
     if (shard === null) throw new Unavailable('teams are not parted yet');
+    // An older version would not see that it waits: it would start it at once.
+    if (spec.after.length > 0 && !this.allRead)
+      throw new Unavailable('not all controllers run a version that lets jobs wait for others');
+    const op = spec.after.length > 0 ? 'submitAfter' : 'submit';
     let answer: SubmitAnswer;
     try {
-      answer = await this.ask<SubmitAnswer>(shard, 'submit', { spec }, (s) => s.submit(spec));
+      answer = await this.ask<SubmitAnswer>(shard, op, { spec }, (s) => s.submit(spec));
     } catch (error) {
       // What was accepted before is known without its owner; only a new job has to wait for it.
       const stored = error instanceof Unavailable ? await this.stored(spec.id) : null;
--- a/src/shards/outlook.ts
+++ b/src/shards/outlook.ts
@@ -94,7 +94,8 @@
     };
   }
 
-  job(job: Job, now: number): PlanJob | null {
+  /** The unstarted tasks of a job; of one that waits for others, from when it is expected to wait no more. */
+  job(job: Job, now: number, releaseAt: number | null = null): PlanJob | null {
     if (job.spec.kind === 'gang' && job.places.size > 0) return null;
     // A job that fails everywhere is tried with one task.
     const one = job.suspect && job.spec.kind !== 'gang';
@@ -118,7 +119,8 @@
       image: job.image,
       imageGb: job.spec.imageGb,
       runS: this.estimates.runS(job.spec),
-      deadline: (now + (job.deadlineWall - this.world.clock.wall())) / 1000,
+      deadline: (now + (job.dueWall - this.world.clock.wall())) / 1000,
+      ...(releaseAt === null ? {} : { from: releaseAt / 1000 }),
       total: job.spec.tasks,
       tasks,
       present,
--- a/src/shards/preemption.ts
+++ b/src/shards/preemption.ts
@@ -54,12 +54,12 @@
     const adopted = this.hooks.adopted();
     const low = this.lowRuns();
     const urgent = [...waiting]
-      .filter((job) => job.spec.priority > PRIORITY.normal || (low && job.spec.priority > PRIORITY.low))
+      .filter((job) => job.priority > PRIORITY.normal || (low && job.priority > PRIORITY.low))
       .filter((job) => job.fresh || adopted)
       .filter(
         (job) => now - (this.preemptedAt.get(job.spec.id) ?? Number.NEGATIVE_INFINITY) >= PREEMPT_PAUSE_MS,
       )
-      .sort((a, b) => b.spec.priority - a.spec.priority || a.order - b.order)
+      .sort((a, b) => b.priority - a.priority || a.order - b.order)
       .slice(0, PREEMPT_JOBS);
     const usage = urgent.length > 0 ? this.hooks.teamUsage() : new Map<number, Amounts>();
     for (const job of urgent) {
@@ -79,7 +79,7 @@
   /** Whether there is work of the lowest priority, which ordinary work may stop as well. */
   private lowRuns(): boolean {
     for (const job of this.jobs.values()) {
-      if (job.spec.priority === PRIORITY.low && job.places.size > 0) return true;
+      if (job.priority === PRIORITY.low && job.places.size > 0) return true;
     }
     return false;
   }
@@ -102,7 +102,7 @@
       const victims = [];
       for (const h of m.held.values()) {
         const other = this.jobs.get(h.job);
-        if (!other || h.state === 'exited' || h.stop || other.spec.priority >= job.spec.priority) continue;
+        if (!other || h.state === 'exited' || h.stop || other.priority >= job.priority) continue;
         if (other.spec.kind === 'gang') continue;
         const ran = h.runningAt === null ? 0 : (now - h.runningAt) / 1000;
         const loss = other.spec.checkpointS > 0 ? 2 + other.spec.saveS + ran / 100 : ran;
@@ -181,7 +181,7 @@
       return false;
     for (const h of m.held.values()) {
       const job = this.jobs.get(h.job);
-      if (!job || h.stop || job.spec.priority >= priority || job.spec.kind === 'gang') return false;
+      if (!job || h.stop || job.priority >= priority || job.spec.kind === 'gang') return false;
     }
     return true;
   }
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -20,6 +20,7 @@
 import { Starts } from './starts.js';
 import { Supply } from './supply.js';
 import { Turns } from './turns.js';
+import { type Claim, type Standing, Waiting } from './waiting.js';
 import type { World } from './world.js';
 
 /** This node cannot answer now; the same request may be sent again. */
@@ -35,9 +36,22 @@
   | { kind: 'accepted' }
   | { kind: 'known'; status: JobStatus }
   | { kind: 'refused'; retryS: number }
+  /** It names a job that was never accepted. */
+  | { kind: 'never'; needs: string }
   /** Cannot be stored at present. */
   | { kind: 'busy'; retryS: number };
 
+/** What a shard needs of the other shards. */
+export interface Others {
+  /** Whether every node understands what the first version did not. */
+  allRead(): boolean;
+  locate(id: string): Promise<JobEntry | null>;
+  /** How a job stands by the state service alone, with all that it needs. */
+  read(id: string): Promise<'active' | 'done' | 'cancelled' | 'unsure'>;
+  askNeeded(shard: number, from: number, claims: Claim[]): Promise<Standing[]>;
+  tellOver(shard: number, id: string, status: 'done' | 'cancelled'): void;
+}
+
 interface Ended {
   status: 'done' | 'cancelled';
   tasks: number;
@@ -71,6 +85,8 @@
 const GATHER_MS = 2000;
 const GATHER_STEP_MS = 100;
 const ENDED_KEPT = 5000;
+/** Jobs that are cancelled together with one that they need: so many at a time, beside all else that is stored. */
+const DOOMED_AT_ONCE = 8;
 /** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
 const PREEMPT_WAIT_S = 2;
 
@@ -85,6 +101,8 @@
   private readonly starts: Starts;
   private readonly blame: Blame;
   private readonly turns: Turns;
+  private readonly waiting: Waiting;
+  private readonly ending = new Set<Job>();
   readonly jobs = new Map<string, Job>();
   private readonly ended = new Map<string, Ended>();
   private readonly records: JobRecords;
@@ -105,6 +123,9 @@
   private lastPlan: { plan: Plan; refs: (Machine | null)[] } | null = null;
   private readonly admissions = new Map<number, { plan: Plan; at: number }>();
   private booked = new Set<string>();
+  /** When the last plan has each job end. */
+  private readonly ends = new Map<number, number>();
+  private endsOf: Shard['lastPlan'] = null;
 
   constructor(
     private readonly world: World,
@@ -112,10 +133,17 @@
     readonly term: number,
     private readonly entitledNow: () => boolean,
     private readonly onLost: () => void,
+    others: Others,
   ) {
     this.log = world.log.child({ shard: index, term });
     this.claimedAt = world.clock.now();
-    this.records = new JobRecords(world.store, index, term, world.settings.stateLimits);
+    this.records = new JobRecords(
+      world.store,
+      index,
+      term,
+      { ...world.settings.stateLimits, layoutKb: world.settings.layoutKb },
+      () => others.allRead(),
+    );
     this.fleet = new Fleet(world.clock, world.http, world.settings.workers.leaseS, this.log, {
       entitled: () => this.entitled,
       renewRecord: (m) => this.supply.writeRecord(m),
@@ -126,6 +154,17 @@
     });
     this.estimates = new Estimates(world, this.jobs);
     this.turns = new Turns(world.clock);
+    this.waiting = new Waiting(world, index, this.jobs, this.log, {
+      endedHere: (id) => this.ended.get(id)?.status ?? null,
+      locate: (id) => others.locate(id),
+      read: (id) => others.read(id),
+      ask: (shard, claims) => others.askNeeded(shard, index, claims),
+      tell: (shard, id, status) => others.tellOver(shard, id, status),
+      released: () => this.stir(),
+      doomed: () => this.endDoomed(),
+      expectedEnd: (job, now) => this.expectedEnd(job, now),
+      runS: (spec) => this.estimates.runS(spec),
+    });
     this.blame = new Blame(this.jobs, this.fleet.machines, this.log);
     this.starts = new Starts(world, term, this.fleet, this.jobs, this.log, {
       useOf: (h) => this.useOf(h),
@@ -196,7 +235,12 @@
           this.world.store.list(KEYS.machines),
         ]);
         if (this.stopped) return;
-        for (const l of jobs) this.adopt(l);
+        const adopted = jobs.map((l) => this.adopt(l));
+        for (const job of adopted) {
+          // What it needs is not done under this term yet, so that no owner before can have started it.
+          if (job.spec.after.some((id) => this.jobs.has(id))) job.fresh = true;
+        }
+        this.waiting.add(adopted);
         for (const e of machines.entries) this.machineRecord(e.key.slice(KEYS.machines.length), e);
         for (const m of this.fleet.machines.values()) {
           m.unknown = true;
@@ -393,7 +437,7 @@
       job.unsettled.push(h);
       const indexes = job.spec.kind === 'gang' ? [...Array(job.spec.tasks).keys()] : [h.index];
       for (const i of indexes) {
-        if (job.done.add(i)) job.dirtyChunks.add(Math.floor(i / this.records.perChunk));
+        if (job.done.add(i)) job.dirtyChunks.add(this.records.chunkOf(job, i));
       }
       void this.flush(job);
       return;
@@ -446,13 +490,10 @@
     const known = this.jobs.get(id);
     if (known) return known;
     const job = this.makeJob(l.record.spec, l.record.accepted, l.record.deadline, false, l.version);
-    for (const c of l.chunks) {
-      job.done.load(c.n, this.records.perChunk, c.done);
-      job.chunkVersions.set(c.n, c.version);
-    }
-    job.stored = job.done.count;
+    job.partsUnder = l.partsUnder;
+    this.records.restore(job, l.chunks);
     this.jobs.set(id, job);
-    if (job.done.count === job.spec.tasks) void this.flush(job);
+    if (job.done.count === job.spec.tasks || job.stored < job.done.count) void this.flush(job);
     return job;
   }
 
@@ -541,9 +582,53 @@
     }
     this.fleet.pushStops();
     this.log.info({ job: id, status }, 'job over');
+    this.waiting.over(id, status, job);
     this.stir();
   }
 
+  /** Cancels jobs of which one that they need was cancelled; what cannot be stored now is tried again. */
+  private endDoomed(): void {
+    for (const job of this.jobs.values()) {
+      if (!job.doomed || this.ending.has(job)) continue;
+      if (this.ending.size >= DOOMED_AT_ONCE) return;
+      this.ending.add(job);
+      void this.mutex(job.spec.id)
+        .runExclusive(async () => {
+          if (job.state !== 'active' || !this.entitled) return;
+          this.end(job, await this.catchLoss(this.records.finish(job, 'cancelled')));
+        })
+        .catch((error) => this.log.debug({ job: job.spec.id, error: String(error) }, 'not cancelled yet'))
+        .finally(() => {
+          this.ending.delete(job);
+          if (job.state !== 'active') this.endDoomed();
+        });
+    }
+  }
+
+  /** Another shard needs jobs of this one. */
+  neededBy(shard: number, claims: readonly Claim[]): Standing[] {
+    this.check();
+    return this.waiting.claimed(shard, claims);
+  }
+
+  /** A job of another shard is durably over. */
+  overElsewhere(id: string, status: 'done' | 'cancelled'): void {
+    if (this.ready) this.waiting.over(id, status, null);
+  }
+
+  /** When the last task of a job ends, as booked. */
+  private expectedEnd(job: Job, now: number): number {
+    if (this.endsOf !== this.lastPlan) {
+      this.endsOf = this.lastPlan;
+      this.ends.clear();
+      for (const b of this.lastPlan?.plan.bookings ?? [])
+        this.ends.set(b.job.id, Math.max(this.ends.get(b.job.id) ?? 0, b.end * 1000));
+    }
+    let end = this.ends.get(job.order) ?? 0;
+    for (const h of job.places.values()) end = Math.max(end, this.estimates.heldEnd(h, now));
+    return end > now ? end : now + this.estimates.runS(job.spec) * 1000;
+  }
+
   // --- what users ask
 
   private check(): void {
@@ -565,10 +650,14 @@
       return { kind: 'busy', retryS: this.turns.take(this.world.store.changesPerSecond * JOBS_PER_CHANGE) };
     return this.mutex(spec.id).runExclusive(async (): Promise<SubmitAnswer> => {
       const known = this.known(spec.id);
-      if (known) return { kind: 'known', status: known.status };
+      if (known) return { kind: 'known', status: this.tellable(spec.id, known).status };
+      const needs = await this.waiting.openOf(spec);
+      if ('never' in needs) return { kind: 'never', needs: needs.never };
+      this.check();
       const wall = this.world.clock.wall();
       const trial = this.makeJob(spec, wall, 0, true, 0);
-      const finish = this.admit(trial);
+      // A job that names a cancelled one is accepted and cancelled.
+      const finish = needs.cancelled ? 0 : this.admit(trial, needs.open);
       if (finish === null) {
         const entry = await this.records.entry(spec.id);
         if (entry) return this.repeated(spec.id, entry);
@@ -584,10 +673,13 @@
       // Somebody who asked for the job while its acceptance was under way may have had it loaded, and tasks of it may
       // run by now: a second copy in its place would know nothing of them and start them again.
       const recalled = this.known(spec.id);
-      if (recalled) return { kind: 'known', status: recalled.status };
+      if (recalled) return { kind: 'known', status: this.tellable(spec.id, recalled).status };
       trial.version = accepted.version;
+      trial.partsUnder = accepted.partsUnder;
       trial.deadlineWall = deadline;
+      trial.dueWall = deadline;
       this.jobs.set(spec.id, trial);
+      this.waiting.add([trial]);
       this.log.info(
         { job: spec.id, team: spec.team, tasks: spec.tasks, deadlineInS: Math.round(finish) },
         'job accepted',
@@ -602,7 +694,7 @@
     if (entry.shard !== this.index) return { kind: 'known', status: 'queued' };
     const status = await this.recall(id);
     if (!status) throw new Unavailable('job not found in its shard');
-    return { kind: 'known', status: status.status };
+    return { kind: 'known', status: this.tellable(id, status).status };
   }
 
   /** A job whose acceptance was applied late is stored but not in memory. */
@@ -612,7 +704,7 @@
     const loaded = await this.records.loadOne(id);
     this.check();
     if (!loaded) return this.known(id);
-    if (!this.ended.has(id)) this.adopt(loaded);
+    if (!this.ended.has(id) && !this.jobs.has(id)) this.waiting.add([this.adopt(loaded)]);
     this.stir();
     return this.known(id);
   }
@@ -633,6 +725,13 @@
     this.check();
     const answer = this.known(id) ?? (await this.recall(id));
     this.check();
+    return answer && this.tellable(id, answer);
+  }
+
+  /** Of a job that may have to be cancelled with one that it needs, nothing is told that may be wrong. */
+  private tellable(id: string, answer: StatusAnswer): StatusAnswer {
+    const job = this.jobs.get(id);
+    if (job && !this.waiting.mayTell(job)) throw new Unavailable('what the job waits for is not known now');
     return answer;
   }
 
@@ -689,21 +788,24 @@
    * in what others leave, and a swarm of tiny jobs would wait for hours of idle-time work.
    */
   private inOrder(): Job[] {
-    const jobs = [...this.jobs.values()].sort((a, b) => a.order - b.order);
+    // What waits for other jobs takes no part in limits and guarantees.
+    const jobs = [...this.jobs.values()]
+      .filter((j) => j.waitsFor.size === 0)
+      .sort((a, b) => a.order - b.order);
     const { whole, partly } = withinGuarantee(jobs, this.world.settings.teams);
     this.guaranteed = whole;
     const rank = (job: Job) => (partly.has(job) ? 0 : 1);
     const low = new Map<Job, number>();
     const cpus = Math.max(1, this.cpus());
     for (const job of jobs) {
-      if (job.spec.priority > PRIORITY.low) continue;
+      if (job.priority > PRIORITY.low) continue;
       const workS =
         ((job.spec.tasks - job.done.count) * job.need.cpus * this.estimates.runS(job.spec)) / cpus;
       low.set(job, job.acceptedWall + workS * 1000 * LOW_WORK_FACTOR);
     }
     return jobs.sort(
       (a, b) =>
-        b.spec.priority - a.spec.priority ||
+        b.priority - a.priority ||
         rank(a) - rank(b) ||
         (low.get(a) ?? 0) - (low.get(b) ?? 0) ||
         a.order - b.order,
@@ -724,12 +826,13 @@
    * Whether the plan finishes all tasks of a job by its deadline; returns the deadline in seconds from now, or null to
    * refuse. What is booked stays, except that work of lower priority that has not started comes after.
    */
-  private admit(job: Job): number | null {
+  private admit(job: Job, needs: ReadonlySet<string>): number | null {
     const now = this.world.clock.now();
     if (job.spec.kind === 'service') return 1e7;
-    const plan = this.admissionPlan(job.spec.priority, now);
+    const plan = this.admissionPlan(job.priority, now);
     const mark = plan.bookings.length;
-    const p = this.outlook.job(job, now)!;
+    // A job that waits begins no earlier than what it waits for is planned to end.
+    const p = this.outlook.job(job, now, needs.size > 0 ? this.waiting.releaseAt(needs, now) : null)!;
     let dueS = job.spec.deadlineS;
     if (dueS !== null) {
       const finish = plan.book({ ...p, deadline: now / 1000 + dueS });
@@ -747,7 +850,7 @@
     }
     // Work of lower priority comes after this job from now on.
     for (const priority of this.admissions.keys()) {
-      if (priority < job.spec.priority) this.admissions.delete(priority);
+      if (priority < job.priority) this.admissions.delete(priority);
     }
     return dueS;
   }
@@ -763,10 +866,15 @@
     }
     const plan = this.outlook.plan(now, machines);
     for (const other of this.inOrder()) {
-      if (other.spec.priority < priority) break;
+      if (other.priority < priority) break;
       const p = other.notBefore > now ? null : this.outlook.job(other, now);
       if (p && plan.looks < LOOKS_MOST) book(plan, p, places.get(p.id));
     }
+    for (const other of this.jobs.values()) {
+      if (other.waitsFor.size === 0 || other.doomed || other.priority < priority) continue;
+      const p = this.outlook.job(other, now, this.waiting.releaseAt(other.waitsFor, now));
+      if (p && plan.looks < LOOKS_MOST) plan.book(p);
+    }
     // A plan that took long to make serves longer.
     const at = this.world.clock.now();
     const longer = Math.min(PLAN_PAUSE_MOST_MS, (at - now) * this.pauseShare);
@@ -777,6 +885,8 @@
   private tick(): void {
     this.guarded(() => {
       const now = this.world.clock.now();
+      this.waiting.tick(now);
+      this.endDoomed();
       this.drain(now);
       this.fleet.pushStops();
       this.preemption.keepPromises(now);
--- a/src/shards/starts.ts
+++ b/src/shards/starts.ts
@@ -86,7 +86,7 @@
     };
     for (const [job, parts] of gangs) if (parts.length === job.spec.tasks) start(job, parts);
     for (const s of singles) {
-      if (s.job.spec.priority === PRIORITY.low && !this.mayStartLow(now)) continue;
+      if (s.job.priority === PRIORITY.low && !this.mayStartLow(now)) continue;
       start(s.job, [s]);
     }
     this.pending.clear();
@@ -116,6 +116,8 @@
     now: number,
   ): boolean {
     if (job.state !== 'active' || job.notBefore > now) return false;
+    // Whatever the plan says: not before all that it needs is known to be done.
+    if (job.waitsFor.size > 0 || job.doomed) return false;
     const team = this.world.settings.teams[job.team];
     const use = usage.get(job.team);
     if (team && use) {
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -28,10 +28,14 @@
   checkpointS: number;
   saveS: number;
   deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts. */
+  after: string[];
 }
 
 const JOB_ID = /^wk-[A-Za-z0-9_-]{1,64}$/;
 const name = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+/** No submission has room for more of them. */
+const MOST_AFTER = 16_384;
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
 const KINDS = { sweep: 'array', ensemble: 'gang', standing: 'service' } as const;
 const PRIORITIES = {
@@ -62,6 +66,7 @@
   saveEveryS: amount,
   savingS: amount,
   dueS: v.nullish(v.pipe(v.number(), v.finite(), v.gtValue(0))),
+  waitsOn: v.nullish(v.pipe(v.array(v.pipe(v.string(), v.regex(JOB_ID))), v.maxLength(MOST_AFTER))),
 });
 
 /** Reads a submission; a string says what is wrong with it. */
@@ -93,6 +98,7 @@
     checkpointS: b.saveEveryS,
     saveS: b.savingS,
     deadlineS: b.dueS ?? null,
+    after: [...new Set(b.waitsOn ?? [])],
   };
 }
 
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -41,6 +41,7 @@
     objectives: [],
     workers: { reportS: 3, leaseS: LEASE_S, gangWaitS: 40, gangPeerS: 5, cancelS: 45 },
     stateLimits: { rps: 600, writeRps: 300, valueKb: 8, txnOps: 16 },
+    layoutKb: 8,
     cloudLimits: { rps: 30, listLagS: 6 },
     limits: { cores: 0.2, memoryMb: 200, maxSockets: 500 },
   };
--- a/tests/wire.test.ts
+++ b/tests/wire.test.ts
@@ -67,9 +67,9 @@
   for (let i = 0; i < 100_000; i += 7) set.add(i);
   const copy = new TaskSet(100_000);
   for (let n = 0; n * per < 100_000; n++) {
-    const text = set.chunk(n, per);
+    const text = set.chunk(n * per, per);
     assert.ok(text.length < 8 * 1024 - 64);
-    copy.load(n, per, text);
+    copy.load(n * per, text);
   }
   assert.equal(copy.count, set.count);
   assert.ok(copy.has(99_995) && !copy.has(99_996));
