--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -67,6 +67,10 @@
   /** Machines that the list still shows although they are gone. */
   readonly ghosts: FakeWorker[] = [];
   teams: Settings['teams'] = [{ name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 }];
+  stateLimits: Settings['stateLimits'] = { rps: 600, writeRps: 300, valueKb: 8, txnOps: 16 };
+  /** Messages between controllers, by their names, that get lost. */
+  readonly lostMessages = new Set<string>();
+  readonly sent: { from: string; to: string; op: string }[] = [];
   objectives: Settings['objectives'] = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }];
   private runs = 0;
 
@@ -95,7 +99,12 @@
   startNode(name: string): Running {
     const http = this.net.requester(name);
     const names = new Names();
-    const s = { ...settings(name, this.names), objectives: this.objectives, teams: this.teams };
+    const s = {
+      ...settings(name, this.names),
+      objectives: this.objectives,
+      teams: this.teams,
+      stateLimits: this.stateLimits,
+    };
     for (const t of s.teams) names.teams.index(t.name);
     const stopped = { value: false };
     const still: Running['still'] = { value: false, queue: [] };
@@ -190,12 +199,15 @@
     return {
       ask: async (to, op, args) => {
         const target = this.nodes.get(to);
+        this.sent.push({ from, to, op });
         if (!target || target.cut || running.cut || target.still.value) throw new Error('not connected');
+        if (this.lostMessages.has(op)) throw new Error('no answer');
         return target.node.serve(op, JSON.parse(JSON.stringify(args)));
       },
       tell: (to, op, args) => {
         const target = this.nodes.get(to);
         if (!target || target.cut || running.cut || running.stopped.value || target.still.value) return;
+        if (this.lostMessages.has(op)) return;
         void target.node.serve(op, JSON.parse(JSON.stringify(args))).catch(() => from);
       },
     };
--- a/tests/support/state.ts
+++ b/tests/support/state.ts
@@ -16,6 +16,11 @@
 export class FakeState {
   readonly items = new Map<string, Item>();
   down = false;
+  /** What it refuses with 400 and 429; may change at any moment. */
+  limits = { valueBytes: 64 * 1024, txnOps: 1000, writesPerSecond: Number.POSITIVE_INFINITY };
+  /** Refused so far, by status. */
+  readonly refused = { 400: 0, 429: 0 };
+  private written = { second: 0, count: 0 };
   private revision = 0;
   private permits = 0;
   private readonly leases = new Map<number, { ttl: number; until: number }>();
@@ -70,7 +75,21 @@
     return { status: 200, body: { path: key, value: item.value, stamp: item.stamp } };
   }
 
+  private refuse(status: 400 | 429): Served {
+    this.refused[status]++;
+    return { status, body: { error: 'limit' } };
+  }
+
   private txn(t: Txn): Served {
+    const tooLong = t.writes.some(
+      (w) => w.set !== undefined && Buffer.byteLength(JSON.stringify(w.value)) > this.limits.valueBytes,
+    );
+    if (tooLong || t.writes.length > this.limits.txnOps || t.when.length > 4 * this.limits.txnOps)
+      return this.refuse(400);
+    const second = Math.floor(this.clock.now() / 1000);
+    if (this.written.second !== second) this.written = { second, count: 0 };
+    if (this.written.count + t.writes.length > this.limits.writesPerSecond) return this.refuse(429);
+    this.written.count += t.writes.length;
     const failed = t.when.filter((c) => (this.items.get(c.path)?.stamp ?? 0) !== c.stamp).map((c) => c.path);
     if (t.writes.some((w) => w.permit !== undefined && !this.leases.has(w.permit))) {
       return { status: 400, body: { error: 'no such lease' } };
