--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -123,6 +123,8 @@
   private lastPlan: { plan: Plan; refs: (Machine | null)[] } | null = null;
   private readonly admissions = new Map<number, { plan: Plan; at: number }>();
   private booked = new Set<string>();
+  /** What a task of each class takes, as last seen. */
+  private readonly needs = new Map<string, Amounts>();
   /** When the last plan has each job end. */
   private readonly ends = new Map<number, number>();
   private endsOf: Shard['lastPlan'] = null;
@@ -188,6 +190,7 @@
       recorded: (id, entry) => this.machineRecord(id, entry),
       lostOwnership: () => this.lostOwnership(),
       uniqueName: (kind) => this.uniqueName(kind),
+      needOf: (jobClass) => this.needs.get(jobClass) ?? null,
       stir: () => this.stir(),
     });
     this.outlook = new Outlook(world, this.fleet, this.estimates, {
@@ -499,6 +502,7 @@
 
   private makeJob(spec: JobSpec, accepted: number, deadline: number, fresh: boolean, version: number): Job {
     const n = this.world.names;
+    this.needs.set(spec.class, { cpus: spec.cpus, gpus: spec.gpus, memoryGb: spec.memoryGb });
     return makeJob(
       spec,
       { accepted, deadline, order: accepted * 4096 + (this.order++ % 4096), fresh, version },
--- a/src/shards/supply.ts
+++ b/src/shards/supply.ts
@@ -3,6 +3,8 @@
 import type { Log } from '../config/log.js';
 import { mostMachines } from '../config/settings.js';
 import { NotOwner } from '../jobs/records.js';
+import { BOOKED_TASKS } from '../plan/plan.js';
+import { type Amounts, fitCount } from '../plan/profile.js';
 import { chooseRentals, type RentOption, type Shortage } from '../plan/rent.js';
 import { StateFailure } from '../state/store.js';
 import { RELEASE_LIMIT, RENT_LIMIT } from '../wire/cloud.js';
@@ -18,6 +20,8 @@
 const KEEP_SOME_MS = 30_000;
 const NEARLY_ALL = 0.95;
 const KEEP_SHORT_MS = 15_000;
+/** An idle machine is kept for a class when a place on it costs no more than so many times the cheapest. */
+const KEPT_COST = 1.5;
 /** A deleted machine costs at least so much time, so giving it back earlier saves nothing. */
 const MIN_CHARGE_MS = 55_000;
 /** A kind of machine that is not to be had is asked for again after this, and after twice as long each time. */
@@ -52,6 +56,8 @@
   recorded(id: string, entry: Entry): void;
   lostOwnership(): Error;
   uniqueName(kind: string): string;
+  /** What a task of a class takes, as far as the shard has had one. */
+  needOf(jobClass: string): Amounts | null;
   stir(): void;
 }
 
@@ -289,17 +295,31 @@
 
   /**
    * Where tasks are expected to start sooner than a machine boots, idle machines are what makes it possible: all of
-   * them where nearly every task must, and for about a boot where many may miss it.
+   * them where nearly every task must, and for about a boot where many may miss it. What is expected of a class keeps
+   * only machines that are among the cheapest for its tasks.
    */
   private keepMs(m: Machine): number {
     const bootS = this.world.catalog.get(m.type)?.bootS ?? 0;
     const hasty = this.world.settings.objectives.filter(
-      (o) => o.kind !== 'finished' && o.withinS !== null && o.withinS < bootS * 1.5,
+      (o) =>
+        o.kind !== 'finished' &&
+        o.withinS !== null &&
+        o.withinS < bootS * 1.5 &&
+        (o.class === null || this.suits(m, this.hooks.needOf(o.class))),
     );
     if (hasty.length === 0) return KEEP_SHORT_MS;
     return hasty.some((o) => (o.share ?? 1) >= NEARLY_ALL) ? KEEP_LONG_MS : KEEP_SOME_MS;
   }
 
+  private suits(m: Machine, need: Amounts | null): boolean {
+    if (!need) return false;
+    const costs = this.world.catalog
+      .all()
+      .map(([type, t]) => ({ type, cost: t.price / fitCount(t, need, BOOKED_TASKS) }));
+    const least = Math.min(...costs.map((c) => c.cost));
+    return costs.some((c) => c.type === m.type && c.cost <= least * KEPT_COST);
+  }
+
   /** Gives machines back: marked durably first, so that no owner ever uses them again. */
   private async giveBack(machines: Machine[]): Promise<void> {
     for (const m of machines) this.moving.add(m.id);
