--- /dev/null
+++ b/src/shards/deputy.ts
@@ -0,0 +1,90 @@
+import { JobRecords, NotOwner } from '../jobs/records.js';
+import { StateFailure } from '../state/store.js';
+import type { JobSpec } from '../wire/users.js';
+import { KEYS } from './keys.js';
+import type { Members } from './members.js';
+import { defaultDueS, type SubmitAnswer, Unavailable } from './shard.js';
+import type { World } from './world.js';
+
+/** When the owner that comes back, or comes next, is asked for the job, and how often again until it answers. */
+const FIRST_MS = 500;
+const AGAIN_MS = 2000;
+const ASKED_AT_ONCE = 16;
+const KEPT = 2000;
+/** Nothing is accepted that would wait longer than this to be stored. */
+const ACCEPT_WAIT_MS = 700;
+
+/**
+ * Accepts jobs without a deadline for a shard whose owner is away: it restarts, is cut off, or has not taken over yet. Such a
+ * job is never refused by the plan, so that no plan is needed; its own deadline is the one for which no machine is in
+ * sight. The write holds only while the shard's owner key is as it was seen, so that every later owner finds the job when
+ * it takes the shard; an owner that is there all the same, and does not know of it, is asked until it has read it.
+ */
+export class Deputy {
+  private readonly unconfirmed = new Map<string, number>();
+  private accepted = 0;
+  private looping = false;
+
+  constructor(
+    private readonly world: World,
+    private readonly members: Members,
+    private readonly allRead: () => boolean,
+    /** Asks the owner for a job, which makes it read the job's record; false when it does not answer. */
+    private readonly confirm: (shard: number, id: string) => Promise<boolean>,
+  ) {}
+
+  /** Whether a job may be accepted without its shard's plan. */
+  mayAccept(spec: JobSpec): boolean {
+    return spec.deadlineS === null;
+  }
+
+  async accept(shard: number, spec: JobSpec): Promise<SubmitAnswer> {
+    const { store, settings, clock } = this.world;
+    // A node that has lost touch with the state service itself says so at once.
+    if (!this.members.valid || !this.members.mirror.ready || store.delayMs > ACCEPT_WAIT_MS)
+      throw new Unavailable('no owner at present');
+    const seen = this.members.mirror.entries.get(KEYS.owner(shard))?.version ?? 0;
+    const limits = { ...settings.stateLimits, layoutKb: settings.layoutKb };
+    const records = new JobRecords(store, shard, seen, limits, this.allRead);
+    const wall = clock.wall();
+    const deadline = Math.round(wall + defaultDueS(this.world, null, spec.estimateS) * 1000);
+    try {
+      const tag = `${this.world.run}-d${this.accepted++}`;
+      const result = await records.accept({ spec, accepted: wall, deadline }, tag);
+      if (result.kind === 'known') return { kind: 'known', status: result.entry.final ?? 'queued' };
+    } catch (error) {
+      // There is a new owner: it is asked when the user comes back.
+      if (error instanceof NotOwner) throw new Unavailable('the shard has moved');
+      throw error;
+    }
+    this.world.log.info({ job: spec.id, shard, team: spec.team }, 'job accepted while its owner is away');
+    this.unconfirmed.set(spec.id, shard);
+    if (this.unconfirmed.size > KEPT) this.unconfirmed.delete(this.unconfirmed.keys().next().value!);
+    this.loop(FIRST_MS);
+    return { kind: 'accepted' };
+  }
+
+  private loop(ms: number): void {
+    if (this.looping || this.unconfirmed.size === 0) return;
+    this.looping = true;
+    this.world.clock.after(ms, () => {
+      void this.confirmAll()
+        .catch((error) => {
+          if (!(error instanceof Unavailable || error instanceof StateFailure)) throw error;
+        })
+        .finally(() => {
+          this.looping = false;
+          this.loop(AGAIN_MS);
+        });
+    });
+  }
+
+  private async confirmAll(): Promise<void> {
+    const some = [...this.unconfirmed].slice(0, ASKED_AT_ONCE);
+    await Promise.all(
+      some.map(async ([id, shard]) => {
+        if (await this.confirm(shard, id)) this.unconfirmed.delete(id);
+      }),
+    );
+  }
+}
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -3,16 +3,18 @@
 import { findJob, readSpec } from '../jobs/records.js';
 import { standing, waits } from '../jobs/standing.js';
 import { Answered, type Mesh } from '../peer/mesh.js';
+import { StateFailure } from '../state/store.js';
 import type { Entry } from '../wire/state.js';
 import type { JobSpec } from '../wire/users.js';
 import { type Report, WORKER_PATHS } from '../wire/workers.js';
+import { Deputy } from './deputy.js';
 import { type Need, readGossip, readNeed } from './gossip.js';
 import { KEYS, LEVEL, readMachineRecord, readParting } from './keys.js';
 import { Leader, type Stray } from './leader.js';
 import { Mailbox } from './mailbox.js';
 import { Members } from './members.js';
 import { Reach } from './reach.js';
-import { Shard, type StatusAnswer, type SubmitAnswer, Unavailable } from './shard.js';
+import { NOT_READY, OwnerAway, Shard, type StatusAnswer, type SubmitAnswer, Unavailable } from './shard.js';
 import { type Claim, readClaims, readStandings, type Standing } from './waiting.js';
 import type { World } from './world.js';
 
@@ -54,6 +56,7 @@
 export class ControllerNode {
   readonly members: Members;
   private readonly mailbox: Mailbox;
+  private readonly deputy: Deputy;
   private readonly shards = new Map<number, Shard>();
   private readonly order: string[];
   private readonly zones: Map<string, string>;
@@ -90,6 +93,23 @@
       const here = this.shards.get(shard);
       return here?.ready && MAILED.has(op) ? this.serve(op, { ...args, shard }) : null;
     });
+    this.deputy = new Deputy(
+      world,
+      this.members,
+      () => this.allRead,
+      (shard, id) => this.confirm(shard, id),
+    );
+  }
+
+  /** Makes a shard's owner read the record of a job that it may not know of. */
+  private async confirm(shard: number, id: string): Promise<boolean> {
+    try {
+      await this.ask(shard, 'status', { id }, (s) => s.status(id));
+      return true;
+    } catch (error) {
+      if (!(error instanceof Unavailable || error instanceof StateFailure)) throw error;
+      return false;
+    }
   }
 
   async start(mesh: Mesh): Promise<void> {
@@ -502,20 +522,29 @@
   }
 
   /** Puts a question to a shard's owner, wherever it is. */
-  private async ask<T>(shard: number, op: string, args: object, here: (s: Shard) => Promise<T>): Promise<T> {
+  private async ask<T>(
+    shard: number,
+    op: string,
+    args: object,
+    here: (s: Shard) => Promise<T>,
+    mayMail = true,
+  ): Promise<T> {
     const local = this.shards.get(shard);
     if (local) return here(local);
     const owner = this.members.owner(shard);
     if (!owner || owner.node === this.world.settings.node || !this.mesh)
-      throw new Unavailable('no owner at present');
+      throw new OwnerAway('no owner at present');
     const mailed = MAILED.has(op);
     const ms = mailed ? ASK_FIRST_MS : op === 'status' ? ASK_STATUS_MS : ASK_MS;
     try {
       return (await this.mesh.ask(owner.node, op, { shard, ...args }, ms)) as T;
     } catch (error) {
       // An owner that answers is not to be asked again: it knows best that it cannot serve now.
-      if (mailed && !(error instanceof Answered)) return await this.askByMail<T>(shard, owner.run, op, args);
-      throw new Unavailable(error instanceof Error ? error.message : 'owner does not answer');
+      const message = error instanceof Error ? error.message : 'owner does not answer';
+      if (error instanceof Answered)
+        throw message === NOT_READY ? new OwnerAway(message) : new Unavailable(message);
+      if (mailed && mayMail) return await this.askByMail<T>(shard, owner.run, op, args);
+      throw new OwnerAway(message);
     }
   }
 
@@ -619,7 +648,13 @@
     const op = spec.after.length > 0 ? 'submitAfter' : 'submit';
     let answer: SubmitAnswer;
     try {
-      answer = await this.ask<SubmitAnswer>(shard, op, { spec }, (s) => s.submit(spec));
+      const deputy = this.deputy.mayAccept(spec);
+      answer = await this.ask<SubmitAnswer>(shard, op, { spec }, (s) => s.submit(spec), !deputy).catch(
+        (error) => {
+          if (!deputy || !(error instanceof OwnerAway)) throw error;
+          return this.acceptFor(shard, op, spec);
+        },
+      );
     } catch (error) {
       // What was accepted before is known without its owner; only a new job has to wait for it.
       const stored = error instanceof Unavailable ? await this.stored(spec.id) : null;
@@ -630,6 +665,16 @@
     return answer;
   }
 
+  /** Accepts a job whose owner is away; an owner that only this node cannot reach hears of it by letter. */
+  private async acceptFor(shard: number, op: string, spec: JobSpec): Promise<SubmitAnswer> {
+    for (const id of spec.after) if (!(await this.locate(id))) return { kind: 'never', needs: id };
+    const answer = await this.deputy.accept(shard, spec);
+    const owner = this.members.owner(shard);
+    if (answer.kind === 'accepted' && owner && owner.node !== this.world.settings.node)
+      void this.askByMail(shard, owner.run, op, { spec }).catch(() => undefined);
+    return answer;
+  }
+
   async status(id: string): Promise<StatusAnswer | null> {
     const entry = await this.locate(id);
     if (!entry) return null;
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -26,6 +26,12 @@
 /** This node cannot answer now; the same request may be sent again. */
 export class Unavailable extends Error {}
 
+/** What an owner says that has not taken its shard over yet, or may have lost it. */
+export const NOT_READY = 'the shard is being taken over';
+
+/** Nobody who could decide for the shard can be asked now. */
+export class OwnerAway extends Unavailable {}
+
 export interface StatusAnswer {
   status: JobStatus;
   done: number;
@@ -191,6 +197,7 @@
       lostOwnership: () => this.lostOwnership(),
       uniqueName: (kind) => this.uniqueName(kind),
       needOf: (jobClass) => this.needs.get(jobClass) ?? null,
+      sawNothing: () => this.needs.size === 0,
       stir: () => this.stir(),
     });
     this.outlook = new Outlook(world, this.fleet, this.estimates, {
@@ -636,7 +643,7 @@
   // --- what users ask
 
   private check(): void {
-    if (!this.ready) throw new Unavailable('the shard is being taken over');
+    if (!this.ready) throw new OwnerAway(NOT_READY);
   }
 
   private known(id: string): StatusAnswer | null {
@@ -846,10 +853,11 @@
       }
     } else {
       const earliest = plan.earliestFinish(p);
-      // No machine in sight: the longest way, from renting one on.
-      const fallback =
-        Math.max(60, ...this.world.catalog.all().map(([, t]) => t.bootS)) * 2 + this.estimates.runS(job.spec);
-      dueS = DEFAULT_SLACK * (earliest === null ? fallback : earliest - now / 1000);
+      dueS = defaultDueS(
+        this.world,
+        earliest === null ? null : earliest - now / 1000,
+        this.estimates.runS(job.spec),
+      );
       plan.book({ ...p, deadline: now / 1000 + dueS });
     }
     // Work of lower priority comes after this job from now on.
@@ -1039,6 +1047,13 @@
   }
 }
 
+/** The deadline of a job without one, in seconds from now: from the earliest finish in the plan, if there is one. */
+export function defaultDueS(world: World, finishS: number | null, runS: number): number {
+  // No machine in sight: the longest way, from renting one on.
+  const longest = Math.max(60, ...world.catalog.all().map(([, t]) => t.bootS)) * 2 + runS;
+  return DEFAULT_SLACK * (finishS ?? longest);
+}
+
 function endedStatus(status: 'done' | 'cancelled', tasks: number): StatusAnswer {
   return { status, done: status === 'done' ? tasks : 0, running: 0 };
 }
--- a/src/shards/supply.ts
+++ b/src/shards/supply.ts
@@ -58,6 +58,8 @@
   uniqueName(kind: string): string;
   /** What a task of a class takes, as far as the shard has had one. */
   needOf(jobClass: string): Amounts | null;
+  /** Whether it has had no job yet, so that any class may be the first. */
+  sawNothing(): boolean;
   stir(): void;
 }
 
@@ -305,14 +307,15 @@
         o.kind !== 'finished' &&
         o.withinS !== null &&
         o.withinS < bootS * 1.5 &&
-        (o.class === null || this.suits(m, this.hooks.needOf(o.class))),
+        (o.class === null || this.suits(m, o.class)),
     );
     if (hasty.length === 0) return KEEP_SHORT_MS;
     return hasty.some((o) => (o.share ?? 1) >= NEARLY_ALL) ? KEEP_LONG_MS : KEEP_SOME_MS;
   }
 
-  private suits(m: Machine, need: Amounts | null): boolean {
-    if (!need) return false;
+  private suits(m: Machine, jobClass: string): boolean {
+    const need = this.hooks.needOf(jobClass);
+    if (!need) return this.hooks.sawNothing();
     const costs = this.world.catalog
       .all()
       .map(([type, t]) => ({ type, cost: t.price / fitCount(t, need, BOOKED_TASKS) }));
