--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -72,7 +72,8 @@
     if (answer.kind === 'never')
       return { status: 422, body: { error: `${answer.needs} was never accepted` } };
     if (answer.kind === 'busy') return later(503, answer.retryS, 'too many new jobs at once');
-    if (answer.kind === 'accepted') return { status: 201, body: writeAccepted(spec.id, 'queued') };
+    if (answer.kind === 'accepted')
+      return { status: 201, body: writeAccepted(spec.id, answer.cancelled ? 'cancelled' : 'queued') };
     return { status: 200, body: writeAccepted(spec.id, answer.status) };
   }
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -17,6 +17,8 @@
 
 const EXIT_SETTINGS = 2;
 const EXIT_BIND = 3;
+/** A planned end waits no longer than this for the shards to be handed over. */
+const LEAVE_MS = 2000;
 
 function version(): string {
   const text = readFileSync(new URL('../package.json', import.meta.url), 'utf8');
@@ -74,6 +76,16 @@
     fail(EXIT_BIND, `cannot listen: ${error instanceof Error ? error.message : error}`);
   }
   log.info('listening');
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.once(signal, () => {
+      log.info({ signal }, 'leaving');
+      clock.after(LEAVE_MS, () => process.exit(0));
+      void node
+        .leave()
+        .catch((error) => log.info({ error: String(error) }, 'left without handing over'))
+        .finally(() => process.exit(0));
+    });
+  }
   await node.start(mesh);
 }
 
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -17,6 +17,7 @@
   readonly mirror: Mirror;
   private lease: number | null = null;
   private validUntil = Number.NEGATIVE_INFINITY;
+  private left = false;
 
   constructor(
     private readonly clock: Clock,
@@ -152,10 +153,20 @@
     this.validUntil = Math.max(this.validUntil, sent + LEASE_MS * (1 - 2 * DRIFT) - MARGIN_MS);
   }
 
-  private async keep(): Promise<never> {
+  /** Gives up the lease and all that hangs on it, for good. */
+  async leave(): Promise<void> {
+    const lease = this.lease;
+    this.left = true;
+    this.lease = null;
+    this.validUntil = Number.NEGATIVE_INFINITY;
+    if (lease !== null) await this.store.revoke(lease);
+  }
+
+  private async keep(): Promise<void> {
     let wait = RENEW_MS;
     for (;;) {
       await pause(this.clock, wait);
+      if (this.left) return;
       wait = RETRY_MS;
       try {
         if (this.lease === null) {
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -64,6 +64,7 @@
   private readonly homeSince = new Map<number, number>();
   private readonly reach: Reach;
   private probing = false;
+  private leaving = false;
   /**
    * Terms under which this node has owned a shard and does so no more. None is ever taken up again: tokens and attempts
    * would be those of the former ownership, whose orders may still be under way.
@@ -122,8 +123,15 @@
     this.claimLoop();
   }
 
+  /** A planned end: whoever is next need not wait for the lease to run out. */
+  async leave(): Promise<void> {
+    this.leaving = true;
+    this.dropAll();
+    await this.members.leave();
+  }
+
   get healthy(): boolean {
-    return this.members.mirror.ready && this.world.catalog.known;
+    return !this.leaving && this.members.mirror.ready && this.world.catalog.known;
   }
 
   // --- ownership
@@ -667,8 +675,15 @@
 
   /** Accepts a job whose owner is away; an owner that only this node cannot reach hears of it by letter. */
   private async acceptFor(shard: number, op: string, spec: JobSpec): Promise<SubmitAnswer> {
-    for (const id of spec.after) if (!(await this.locate(id))) return { kind: 'never', needs: id };
+    for (const id of spec.after) {
+      const entry = await this.locate(id);
+      if (!entry) return { kind: 'never', needs: id };
+      // It has to be cancelled together with its acceptance.
+      if (entry.final === 'cancelled') throw new Unavailable('no owner at present');
+    }
     const answer = await this.deputy.accept(shard, spec);
+    if (answer.kind === 'known' && answer.status === 'queued')
+      throw new Unavailable('known, but not how it stands');
     const owner = this.members.owner(shard);
     if (answer.kind === 'accepted' && owner && owner.node !== this.world.settings.node)
       void this.askByMail(shard, owner.run, op, { spec }).catch(() => undefined);
--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../config/log.js';
 import { type Job, type JobEntry, jobStatus, makeJob, openCount, withinGuarantee } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
+import { waits } from '../jobs/standing.js';
 import type { Plan, PlanJob } from '../plan/plan.js';
 import type { Amounts } from '../plan/profile.js';
 import { StateFailure } from '../state/store.js';
@@ -39,7 +40,8 @@
 }
 
 export type SubmitAnswer =
-  | { kind: 'accepted' }
+  /** Cancelled at once when it names a job that was cancelled. */
+  | { kind: 'accepted'; cancelled?: boolean }
   | { kind: 'known'; status: JobStatus }
   | { kind: 'refused'; retryS: number }
   /** It names a job that was never accepted. */
@@ -696,13 +698,19 @@
         'job accepted',
       );
       this.stir();
-      return { kind: 'accepted' };
+      if (!needs.cancelled) return { kind: 'accepted' };
+      this.end(trial, await this.catchLoss(this.records.finish(trial, 'cancelled')));
+      return { kind: 'accepted', cancelled: true };
     });
   }
 
   private async repeated(id: string, entry: JobEntry): Promise<SubmitAnswer> {
     if (entry.final) return { kind: 'known', status: entry.final };
-    if (entry.shard !== this.index) return { kind: 'known', status: 'queued' };
+    if (entry.shard !== this.index) {
+      // Its owner knows whether it is about to be cancelled with one that it waits for.
+      if (waits(entry)) throw new Unavailable('the job is in another shard');
+      return { kind: 'known', status: 'queued' };
+    }
     const status = await this.recall(id);
     if (!status) throw new Unavailable('job not found in its shard');
     return { kind: 'known', status: this.tellable(id, status).status };
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -678,6 +678,23 @@
   assert.equal(c.released.includes(cheap.id), false);
 });
 
+// Guards against a planned restart that leaves a shard without an owner until a lease of 8 s has run out.
+test('a controller that is told to end hands its shards over at once', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  c.addWorker('c8', 'a');
+  c.startNode('n0');
+  c.startNode('n1');
+  assert.ok(await c.submit('n1', job('wk-1')));
+  assert.equal(c.nodes.get('n1')!.node.members.owner(0)?.node, 'n0');
+  await c.nodes.get('n0')!.node.leave();
+  assert.equal(c.nodes.get('n0')!.node.healthy, false);
+  const owner = () => c.nodes.get('n1')!.node.members.owner(0)?.node;
+  assert.ok(await c.clock.until(() => owner() === 'n1', 3000));
+  await c.clock.advance(10_000);
+  assert.equal(owner(), 'n1', 'it takes nothing back');
+  assert.equal((await c.call('n1', 'POST', '/api/jobs', job('wk-2', { dueS: 900 }))).status, 201);
+});
+
 test('a rented machine stays in the plan while it boots, and is given back when it never comes up', async () => {
   const c = new FakeCluster(['n0']);
   c.capacity = true;
--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -155,8 +155,9 @@
     assert.equal(starts(c, `${id}/0`), 0);
   }
   // Named later: accepted all the same, then cancelled.
-  assert.ok(await c.submit('n1', job('wk-5', { owner: 'red', waitsOn: ['wk-4'] })));
-  assert.ok(await ended(c, 'wk-5', 'cancelled'));
+  const named = await c.call('n1', 'POST', '/api/jobs', job('wk-5', { owner: 'red', waitsOn: ['wk-4'] }));
+  assert.deepEqual([named.status, status(named.body)], [201, 'aborted'], 'never called queued');
+  assert.equal((c.state.value('job/wk-5') as { final: string }).final, 'cancelled');
   assert.equal(starts(c, 'wk-5/0'), 0);
 });
 
