--- a/src/shards/supply.ts
+++ b/src/shards/supply.ts
@@ -22,6 +22,8 @@
 const KEEP_SHORT_MS = 15_000;
 /** An idle machine is kept for a class when a place on it costs no more than so many times the cheapest. */
 const KEPT_COST = 1.5;
+/** Or when its tasks take so much of it: smaller ones find room beside others, and need no machine of their own. */
+const KEPT_TASKS = 8;
 /** A deleted machine costs at least so much time, so giving it back earlier saves nothing. */
 const MIN_CHARGE_MS = 55_000;
 /** A kind of machine that is not to be had is asked for again after this, and after twice as long each time. */
@@ -297,8 +299,8 @@
 
   /**
    * Where tasks are expected to start sooner than a machine boots, idle machines are what makes it possible: all of
-   * them where nearly every task must, and for about a boot where many may miss it. What is expected of a class keeps
-   * only machines that are among the cheapest for its tasks.
+   * them where nearly every task must, and for about a boot where many may miss it. A class of small tasks keeps only
+   * machines that are among the cheapest for them.
    */
   private keepMs(m: Machine): number {
     const bootS = this.world.catalog.get(m.type)?.bootS ?? 0;
@@ -316,6 +318,8 @@
   private suits(m: Machine, jobClass: string): boolean {
     const need = this.hooks.needOf(jobClass);
     if (!need) return this.hooks.sawNothing();
+    const size = this.world.catalog.size(m.type);
+    if (fitCount(size, need, 1) > 0 && fitCount(size, need, KEPT_TASKS) < KEPT_TASKS) return true;
     const costs = this.world.catalog
       .all()
       .map(([type, t]) => ({ type, cost: t.price / fitCount(t, need, BOOKED_TASKS) }));
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -663,19 +663,26 @@
 });
 
 // Guards against dear machines that stand idle for a class that would never pay for them (Lanchi: price 4.9, then 3.9).
-test('idle machines are kept for a hasty class only where a place for its tasks is cheap', async () => {
+test('idle machines are kept for a hasty class of small tasks only where a place for them is cheap', async () => {
   const c = new FakeCluster(['n0']);
   c.cardPrice = 2;
   c.objectives = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.99 }];
   const cheap = c.addWorker('c8', 'a');
   const dear = c.addWorker('g8', 'a');
   c.startNode('n0');
-  assert.ok(await c.submit('n0', job('wk-1')));
+  assert.ok(await c.submit('n0', job('wk-1', { cpus: 1, memoryGb: 1 })));
   assert.ok(await started(c, 'wk-1/0'));
   cheap.end('wk-1/0', 'done');
   assert.ok(await c.clock.until(() => c.released.includes(dear.id), 40_000));
   await c.clock.advance(60_000);
   assert.equal(c.released.includes(cheap.id), false);
+  // Tasks that take half a machine need one that is empty, whatever it costs.
+  const second = c.addWorker('g8', 'a');
+  assert.ok(await c.submit('n0', job('wk-2')));
+  assert.ok(await started(c, 'wk-2/0'));
+  cheap.end('wk-2/0', 'done');
+  await c.clock.advance(90_000);
+  assert.equal(c.released.includes(second.id), false);
 });
 
 // Guards against a planned restart that leaves a shard without an owner until a lease of 8 s has run out.
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -75,6 +75,7 @@
   readonly sent: { from: string; to: string; op: string }[] = [];
   objectives: Settings['objectives'] = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }];
   private runs = 0;
+  private made = 0;
 
   constructor(private readonly names: string[]) {
     this.net.peers.set(STATE, (m, p, b) => this.state.serve(m, p, b));
@@ -83,7 +84,7 @@
   }
 
   addWorker(flavor: string, yard: string, loaner = false): FakeWorker {
-    const n = this.workers.length + 1;
+    const n = ++this.made;
     const worker = new FakeWorker(
       this.clock,
       `m-${String(n).padStart(6, '0')}`,
--- a/tests/wire.test.ts
+++ b/tests/wire.test.ts
@@ -119,6 +119,15 @@
 max_sockets = 800
 `;
   assert.equal(parseSettings(good).workers.leaseS, 20);
+  // What the state service will allow later is kept from the start on, also where it is more than now.
+  const { stateLimits } = parseSettings(good);
+  const next = good.replace(
+    /(\[params\.state\][^[]*)/,
+    '$1\n[params.state.next]\nvalue_kb = 2.0\nrps = 1e9\n',
+  );
+  assert.notEqual(next, good);
+  assert.deepEqual(parseSettings(next).stateLimits, { ...stateLimits, valueKb: 2 });
+  assert.equal(parseSettings(next).layoutKb, stateLimits.valueKb);
   const says = (text: string, what: RegExp) =>
     assert.throws(
       () => parseSettings(text),
