--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -1,5 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { makeJob } from '../src/jobs/job.js';
+import type { Plan } from '../src/plan/plan.js';
+import { Starts } from '../src/shards/starts.js';
+import type { World } from '../src/shards/world.js';
+import { readJob } from '../src/wire/users.js';
+import type { Fleet } from '../src/workers/fleet.js';
+import type { Machine } from '../src/workers/machine.js';
 import { FakeCluster, job } from './support/cluster.js';
 
 const status = (body: unknown) => (body as { status: string }).status;
@@ -256,3 +263,56 @@
   const loose = await c.call('n0', 'POST', '/api/jobs', job('wk-2', { waitsOn: ['wk-1'], dueS: 250 }));
   assert.equal(loose.status, 201);
 });
+
+// Guards against `too_early` by a plan that has a waiting job in it all the same, whatever made it.
+test('no start is ordered of a job that waits or is to be cancelled, whatever the plan says', () => {
+  const spec = readJob(job('wk-1', { owner: 'red' }));
+  assert.ok(typeof spec !== 'string');
+  const size = { cpus: 8, gpus: 0, memoryGb: 32 };
+  const world = {
+    settings: { teams: [], limits: { cores: 1 } },
+    catalog: { size: () => size },
+  } as unknown as World;
+  const machine = {
+    id: 'm-1',
+    addr: '10.0.0.1:1',
+    type: 0,
+    zone: 0,
+    synced: true,
+    noticeUntil: null,
+    unreachableAt: null,
+    held: new Map(),
+  } as unknown as Machine;
+  const ordered: string[] = [];
+  const fleet = {
+    machines: new Map([[machine.id, machine]]),
+    start: (_m: Machine, starts: { job: string }[]) => {
+      ordered.push(...starts.map((s) => s.job));
+      return [];
+    },
+  } as unknown as Fleet;
+  const one = makeJob(
+    spec,
+    { accepted: 0, deadline: 0, order: 1, fresh: true, version: 1 },
+    { team: 0, types: null, zone: null, image: 0 },
+  );
+  const log = { debug: () => undefined } as never;
+  const starts = new Starts(world, 7, fleet, new Map([['wk-1', one]]), log, {
+    useOf: () => null,
+    unseen: () => ({ cpus: 0, gpus: 0, memoryGb: 0 }),
+    adopted: () => true,
+    withheld: () => false,
+    lostOwnership: () => new Error('lost'),
+  });
+  const plan = { bookings: [{ job: { id: 1 }, task: 0, machine: 0, start: 0, end: 60 }] } as unknown as Plan;
+  const dispatch = () => starts.dispatch(plan, [machine], new Map([[1, one]]), 1000);
+  one.waitsFor.add('wk-0');
+  dispatch();
+  one.waitsFor.clear();
+  one.doomed = true;
+  dispatch();
+  assert.deepEqual(ordered, []);
+  one.doomed = false;
+  dispatch();
+  assert.deepEqual(ordered, ['wk-1']);
+});
