--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -168,6 +168,7 @@
       endedHere: (id) => this.ended.get(id)?.status ?? null,
       locate: (id) => others.locate(id),
       read: (id) => others.read(id),
+      recall: (id) => this.recall(id),
       ask: (shard, claims) => others.askNeeded(shard, index, claims),
       tell: (shard, id, status) => others.tellOver(shard, id, status),
       released: () => this.stir(),
--- a/src/shards/waiting.ts
+++ b/src/shards/waiting.ts
@@ -49,6 +49,8 @@
   locate(id: string): Promise<JobEntry | null>;
   /** How a job stands by the state service alone, with all that it needs. */
   read(id: string): Promise<'active' | 'done' | 'cancelled' | 'unsure'>;
+  /** Loads a job of this shard that is stored and that this owner does not know of. */
+  recall(id: string): Promise<unknown>;
   /** Asks the owner of another shard about its jobs, and says who needs them. */
   ask(shard: number, claims: Claim[]): Promise<Standing[]>;
   /** Tells the owner of a shard how a job ended that it needs. */
@@ -124,11 +126,16 @@
 
   /** Takes up jobs that were accepted, by this owner or one before it. */
   add(jobs: Iterable<Job>): void {
+    const now = this.world.clock.now();
     let waits = false;
-    for (const job of jobs) waits = this.addOne(job) || waits;
-    if (!waits) return;
-    this.assess(this.world.clock.now());
-    this.lookSoon();
+    for (const job of jobs) {
+      if (!this.addOne(job)) continue;
+      waits = true;
+      // What comes before those that it needs follows with the next tick.
+      this.assessOne(job, now);
+      for (const id of job.waitsFor) this.pass(this.jobs.get(id), job.priority, this.dueBefore(job));
+    }
+    if (waits) this.lookSoon();
   }
 
   private addOne(job: Job): boolean {
@@ -237,17 +244,19 @@
     const waiting = [...this.jobs.values()]
       .filter((j) => j.waitsFor.size > 0)
       .sort((a, b) => a.order - b.order);
-    for (const job of waiting) {
-      let sureAt = now;
-      for (const id of job.waitsFor) {
-        const here = this.jobs.get(id);
-        sureAt = Math.min(sureAt, here ? now - this.age(here, now) : (this.needed.get(id)?.asOf ?? 0));
-      }
-      this.known.set(job, { sureAt, releaseAt: this.releaseAt(job.waitsFor, now) });
-    }
+    for (const job of waiting) this.assessOne(job, now);
     this.inherit(waiting);
   }
 
+  private assessOne(job: Job, now: number): void {
+    let sureAt = now;
+    for (const id of job.waitsFor) {
+      const here = this.jobs.get(id);
+      sureAt = Math.min(sureAt, here ? now - this.age(here, now) : (this.needed.get(id)?.asOf ?? 0));
+    }
+    this.known.set(job, { sureAt, releaseAt: this.releaseAt(job.waitsFor, now) });
+  }
+
   tick(now: number): void {
     for (const [id, byShard] of this.claims) {
       for (const [shard, c] of byShard) if (c.until < now || !this.jobs.has(id)) byShard.delete(shard);
@@ -305,7 +314,7 @@
     for (const [id, n] of this.needed) {
       if (this.jobs.has(id)) n.shard = this.index;
       else if (n.shard === null) this.place(id, n);
-      else if (n.shard === this.index) this.readOnce(id, n);
+      else if (n.shard === this.index) this.recallOnce(id, n);
       else {
         const claims = byShard.get(n.shard) ?? [];
         if (claims.length < ASKED_TOGETHER) claims.push(this.claim(id, n));
@@ -358,6 +367,16 @@
     });
   }
 
+  /** A job that was accepted for this shard by another controller, or whose acceptance was applied late; or one long over. */
+  private recallOnce(id: string, n: Needed): void {
+    this.reading(n, async () => {
+      await this.hooks.recall(id);
+      const final = this.hooks.endedHere(id);
+      const state = final ?? (this.jobs.has(id) ? 'active' : await this.hooks.read(id));
+      if (state === 'done' || state === 'cancelled') this.over(id, state, null);
+    });
+  }
+
   private readOnce(id: string, n: Needed): void {
     this.reading(n, async () => {
       const sent = this.world.clock.now();
--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -197,6 +197,22 @@
   assert.equal(await asked(c, ownerOf(c, 'red'), 'wk-2'), 'queued');
 });
 
+// Guards against a wait without end for a job that is stored, and that its owner does not know of.
+test('a job that is needed and that the owner does not know of is loaded and runs', async () => {
+  const c = new FakeCluster(['n0']);
+  c.addWorker('c8', 'a');
+  c.startNode('n0');
+  assert.ok(await c.submit('n0', job('wk-0', { cpus: 1 })));
+  c.net.fate = (_f, _a, _m, path, body) =>
+    path === '/txn' && JSON.stringify(body).includes('"set":"act/wk-1"') ? 'hold' : 'deliver';
+  assert.equal((await c.call('n0', 'POST', '/api/jobs', job('wk-1', { cpus: 1 }))).status, 503);
+  c.net.fate = () => 'deliver';
+  await c.net.release();
+  assert.ok(await c.submit('n0', job('wk-2', { cpus: 1, waitsOn: ['wk-1'] })));
+  await finish(c, 'wk-1/0');
+  assert.ok(await start(c, 'wk-2/0'));
+});
+
 test('a cancellation that is answered with done lets the jobs after it go on', async () => {
   const c = await twoShards();
   assert.ok(await c.submit('n0', job('wk-1', { owner: 'red' })));
