--- a/src/shards/shard.ts
+++ b/src/shards/shard.ts
@@ -237,6 +237,7 @@
   stop(): void {
     this.stopped = true;
     this.fleet.stop();
+    this.waiting.stop();
   }
 
   /** Loads what the state service has of the shard; tried again until it works or the shard is lost. */
--- a/src/shards/waiting.ts
+++ b/src/shards/waiting.ts
@@ -7,7 +7,7 @@
 /** Owners of jobs that are needed elsewhere are asked this often, all jobs of a shard with one question. */
 const ASK_MS = 1000;
 const SOON_MS = 60;
-const ASKED_TOGETHER = 400;
+const ASKED_TOGETHER = 2000;
 /** What an owner has said of its jobs' needers counts for so long. */
 const CLAIM_MS = 5000;
 /** When an owner has not answered for so long, the state service is asked, for so many jobs at a time. */
@@ -91,6 +91,7 @@
   private readsLeft = false;
   private askedAt = Number.NEGATIVE_INFINITY;
   private soon = false;
+  private stopped = false;
 
   constructor(
     private readonly world: World,
@@ -308,7 +309,13 @@
     });
   }
 
+  /** The shard is lost: what it waited for is its next owner's to find out. */
+  stop(): void {
+    this.stopped = true;
+  }
+
   private look(now: number): void {
+    if (this.stopped) return;
     this.askedAt = now;
     const byShard = new Map<number, Claim[]>();
     for (const [id, n] of this.needed) {
@@ -396,12 +403,15 @@
     n.reading = true;
     this.reads++;
     void work()
+      .then(() => {
+        // The next ones at once, but after a failure only with the next tick.
+        if (this.readsLeft) this.lookSoon();
+        this.readsLeft = false;
+      })
       .catch((error) => this.log.debug({ error: String(error) }, 'what is needed was not read'))
       .finally(() => {
         n.reading = false;
         this.reads--;
-        if (this.readsLeft) this.lookSoon();
-        this.readsLeft = false;
       });
   }
 }
--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -213,6 +213,30 @@
   assert.ok(await start(c, 'wk-2/0'));
 });
 
+// Guards against a hot loop of reads: where many are waited for and the state service fails, each is read at its turn.
+test('what cannot be read during an outage is read again at a bounded rate', async () => {
+  const c = await twoShards();
+  const ids = Array.from({ length: 30 }, (_, i) => `wk-${100 + i}`);
+  for (const id of ids) assert.ok(await c.submit('n0', job(id, { owner: 'red', cpus: 1 })));
+  assert.ok(await c.submit('n0', job('wk-2', { owner: 'blue', waitsOn: ids })));
+  const blue = ownerOf(c, 'blue');
+  c.killNode(blue);
+  c.lostMessages.add('needed');
+  c.startNode(blue);
+  await c.clock.advance(8000);
+  let reads = 0;
+  c.net.fate = (from, _a, method, path) => {
+    if (from !== blue || method !== 'GET' || !path.startsWith('/keys/')) return 'deliver';
+    reads++;
+    return 'refuse';
+  };
+  await c.clock.advance(10_000);
+  assert.ok(reads > 0 && reads <= 10 * 9, `${reads} reads in 10 s`);
+  c.net.fate = () => 'deliver';
+  for (const id of ids) await finish(c, `${id}/0`);
+  assert.ok(await start(c, 'wk-2/0', 20_000));
+});
+
 test('a cancellation that is answered with done lets the jobs after it go on', async () => {
   const c = await twoShards();
   assert.ok(await c.submit('n0', job('wk-1', { owner: 'red' })));
