--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -1,12 +1,13 @@
+// In this room: what users and workers ask over HTTP, and how it is answered.
 import type { Shown } from '../http/admission.js';
 import type { HttpReply, HttpRequest } from '../http/server.js';
 import { fitCount } from '../plan/profile.js';
+import { Unavailable } from '../shard/answers.js';
 import type { ControllerNode } from '../shards/node.js';
-import { Unavailable } from '../shards/shard.js';
-import type { World } from '../shards/world.js';
 import { StateFailure } from '../state/store.js';
 import { isJobId, type JobSpec, readJob, USER_PATHS, writeAccepted, writeStatus } from '../wire/users.js';
 import { readReport, WORKER_PATHS, writeRedirect } from '../wire/workers.js';
+import type { World } from '../world/world.js';
 
 const JOB_PATH = /^\/api\/jobs\/([^/]+)(?:\/([^/]+))?$/;
 
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -1,3 +1,4 @@
+// In this room: what operators and the platform set, validated, and logging.
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
 import * as v from 'valibot';
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,3 +1,4 @@
+// In this room: HTTP/1.1 on sockets: parser, server, client, and who gets a place; nothing of what is asked.
 import net from 'node:net';
 import type { Clock } from '../clock/clock.js';
 import { Admission, type AdmissionCounts, type Seat, type Shown } from './admission.js';
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -1,3 +1,4 @@
+// In this room: jobs, their tasks and their records, as their owner and the state service have them.
 import type { Amounts } from '../plan/profile.js';
 import type { JobSpec, JobStatus } from '../wire/users.js';
 import type { Held } from '../workers/machine.js';
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import { KEYS } from '../shards/keys.js';
+import { KEYS } from '../keys/keys.js';
 import { StateFailure, type StateStore, type TxnResult } from '../state/store.js';
 import type { Condition, Entry, Write } from '../wire/state.js';
 import type { JobSpec } from '../wire/users.js';
--- a/src/shards/keys.ts
+++ b/src/keys/keys.ts
@@ -1,3 +1,4 @@
+// In this room: the layout of the state service: keys, and the records that belong to no other room.
 import * as v from 'valibot';
 
 /** The layout of the service's records in the state service. */
--- a/src/main.ts
+++ b/src/main.ts
@@ -11,8 +11,8 @@
 import { HttpServer } from './http/server.js';
 import { PeerMesh } from './peer/mesh.js';
 import { ControllerNode } from './shards/node.js';
-import { Catalog, Names, type World } from './shards/world.js';
 import { StateStore } from './state/store.js';
+import { Catalog, Names, type World } from './world/world.js';
 
 const EXIT_SETTINGS = 2;
 const EXIT_BIND = 3;
--- /dev/null
+++ b/src/plan/model.ts
@@ -0,0 +1,68 @@
+import type { Amounts } from './profile.js';
+
+/** A machine as the plan sees it. All names are dense indices. */
+export interface PlanMachine {
+  type: number;
+  zone: number;
+  spot: boolean;
+  size: Amounts;
+  /** From when it can take tasks; later than now while it boots. */
+  readyAt: number;
+  /** When the cloud takes it away. */
+  until: number;
+  /** No new work starts here for now, but what it holds is booked. */
+  closed: boolean;
+  fetchGbPerS: number;
+  images: ReadonlySet<number>;
+  held: HeldBooking[];
+}
+
+export interface HeldBooking {
+  team: number;
+  end: number;
+  need: Amounts;
+}
+
+export interface PlanJob {
+  id: number;
+  team: number;
+  kind: 'array' | 'gang' | 'service';
+  need: Amounts;
+  /** Allowed machine types, null for any. */
+  types: ReadonlySet<number> | null;
+  zone: number | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  image: number;
+  imageGb: number;
+  runS: number;
+  deadline: number;
+  /** It begins no earlier, since other jobs have to be done before. */
+  from?: number;
+  /** All tasks of the job, for `spread`. */
+  total: number;
+  /** Unstarted tasks to be booked. */
+  tasks: number[];
+  /** Tasks on machines now, by zone. */
+  present: ReadonlyMap<number, number>;
+}
+
+export interface Booking {
+  job: PlanJob;
+  task: number;
+  machine: number;
+  start: number;
+  end: number;
+}
+
+/** Where an earlier plan had a task. */
+export interface KeptPlace {
+  machine: number;
+  start: number;
+}
+
+export interface TeamCap {
+  cpus: number;
+  gpus: number;
+}
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -1,67 +1,7 @@
+// In this room: the plan: pure functions of machines and jobs, no I/O.
+import type { Booking, KeptPlace, PlanJob, PlanMachine, TeamCap } from './model.js';
 import { type Amounts, fitCount, Profile } from './profile.js';
 
-/** A machine as the plan sees it. All names are dense indices. */
-export interface PlanMachine {
-  type: number;
-  zone: number;
-  spot: boolean;
-  size: Amounts;
-  /** From when it can take tasks; later than now while it boots. */
-  readyAt: number;
-  /** When the cloud takes it away. */
-  until: number;
-  /** No new work starts here for now, but what it holds is booked. */
-  closed: boolean;
-  fetchGbPerS: number;
-  images: ReadonlySet<number>;
-  held: HeldBooking[];
-}
-
-export interface HeldBooking {
-  team: number;
-  end: number;
-  need: Amounts;
-}
-
-export interface PlanJob {
-  id: number;
-  team: number;
-  kind: 'array' | 'gang' | 'service';
-  need: Amounts;
-  /** Allowed machine types, null for any. */
-  types: ReadonlySet<number> | null;
-  zone: number | null;
-  oneZone: boolean;
-  spread: boolean;
-  spot: boolean;
-  image: number;
-  imageGb: number;
-  runS: number;
-  deadline: number;
-  /** It begins no earlier, since other jobs have to be done before. */
-  from?: number;
-  /** All tasks of the job, for `spread`. */
-  total: number;
-  /** Unstarted tasks to be booked. */
-  tasks: number[];
-  /** Tasks on machines now, by zone. */
-  present: ReadonlyMap<number, number>;
-}
-
-export interface Booking {
-  job: PlanJob;
-  task: number;
-  machine: number;
-  start: number;
-  end: number;
-}
-
-/** Where an earlier plan had a task. */
-export interface KeptPlace {
-  machine: number;
-  start: number;
-}
-
 /** Beyond so many tasks of one job, the rest is estimated instead of booked. */
 export const BOOKED_TASKS = 256;
 /** A machine with so many bookings takes no more for the time being. */
@@ -72,11 +12,6 @@
 /** Services run until they are cancelled. */
 const FOREVER = 1e9;
 
-export interface TeamCap {
-  cpus: number;
-  gpus: number;
-}
-
 const INSTANT = 1e-3;
 /** No start on this machine. */
 const NEVER = Number.POSITIVE_INFINITY;
--- a/src/shards/blame.ts
+++ b/src/shard/blame.ts
@@ -1,12 +1,11 @@
 import type { Log } from '../config/log.js';
 import type { Job } from '../jobs/job.js';
-import type { Machine } from '../workers/machine.js';
+import { type Machine, SICK_ERRORS } from '../workers/machine.js';
 
 /** A job that has failed on so many machines that have failed no other job was submitted with a mistake. */
 const MACHINES_AGAINST_JOB = 3;
 /** A machine that has failed so many jobs is faulty; it is given back. */
 const JOBS_AGAINST_MACHINE = 2;
-export const SICK_ERRORS = 3;
 const CLOSED_MS = 15_000;
 const CLOSED_MOST_MS = 300_000;
 const RETRY_MS = 5000;
--- a/src/shards/demand.ts
+++ b/src/shard/demand.ts
@@ -1,15 +1,16 @@
 import { type Job, openCount } from '../jobs/job.js';
-import type { Booking, Plan, PlanJob } from '../plan/plan.js';
+import type { Booking, PlanJob } from '../plan/model.js';
+import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import type { Shortage } from '../plan/rent.js';
+import type { Gossip } from '../supply/gossip.js';
+import { kindKey, type Supply } from '../supply/supply.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet } from '../workers/fleet.js';
 import type { Machine } from '../workers/machine.js';
+import type { World } from '../world/world.js';
 import type { Estimates } from './estimates.js';
-import type { Gossip } from './gossip.js';
 import type { Preemption } from './preemption.js';
-import { kindKey, type Supply } from './supply.js';
-import type { World } from './world.js';
 
 /** A shortage goes to the leader first; renting begins when nobody had a machine to give. */
 const RENT_AFTER_MS = 900;
--- a/src/shards/outlook.ts
+++ b/src/shard/outlook.ts
@@ -1,12 +1,13 @@
 import { type Job, openTasks } from '../jobs/job.js';
-import { type HeldBooking, type KeptPlace, Plan, type PlanJob, type PlanMachine } from '../plan/plan.js';
+import type { HeldBooking, KeptPlace, PlanJob, PlanMachine } from '../plan/model.js';
+import { Plan } from '../plan/plan.js';
 import type { Amounts } from '../plan/profile.js';
 import type { RentOption } from '../plan/rent.js';
+import type { PendingRental } from '../supply/supply.js';
 import type { Fleet } from '../workers/fleet.js';
 import type { Held, Machine } from '../workers/machine.js';
+import type { World } from '../world/world.js';
 import type { Estimates } from './estimates.js';
-import type { PendingRental } from './supply.js';
-import type { World } from './world.js';
 
 export interface OutlookHooks {
   /** Whose a task is and what it takes; null when nobody remembers. */
--- /dev/null
+++ b/src/shard/planner.ts
@@ -0,0 +1,237 @@
+import { type Job, withinGuarantee } from '../jobs/job.js';
+import type { PlanJob } from '../plan/model.js';
+import type { Plan } from '../plan/plan.js';
+import type { Supply } from '../supply/supply.js';
+import { PRIORITY } from '../wire/users.js';
+import type { Fleet } from '../workers/fleet.js';
+import type { Machine } from '../workers/machine.js';
+import type { World } from '../world/world.js';
+import type { Demand } from './demand.js';
+import type { Estimates } from './estimates.js';
+import { book, type Outlook } from './outlook.js';
+import type { Preemption } from './preemption.js';
+import type { Starts } from './starts.js';
+import type { JobTable } from './table.js';
+import type { Waiting } from './waiting.js';
+
+/** A job without a deadline gets one at so many times the finish that the plans allow. */
+const DEFAULT_SLACK = 1.5;
+/** Planning takes no more than this of the processor that a controller has, however much there is to plan. */
+const PLAN_SHARE = 0.15;
+const PLAN_PAUSE_MOST_MS = 2000;
+/** So many jobs are booked anew in every plan, all of them at these intervals, or longer when that takes long. */
+const BOOKED_ANEW = 4;
+const BOOK_ANEW_MS = 1500;
+const BOOK_ANEW_SHARE = 20;
+/** What a plan may cost in looks at machines; what comes after in order is only started where there is room now. */
+const LOOKS_MOST = 150_000;
+/** So many times as long as its work would take, the least urgent work stands back behind what is accepted later. */
+const LOW_WORK_FACTOR = 20;
+/** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
+const ADMIT_FRESH_MS = 1000;
+/** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
+const PREEMPT_WAIT_S = 2;
+
+/** The plan of one shard: what is weighed against it, booked in it and started by it. */
+export class Planner {
+  private bookAnewAt = 0;
+  /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
+  private guaranteed: ReadonlySet<Job> = new Set();
+  private lastPlan: { plan: Plan; refs: (Machine | null)[] } | null = null;
+  private readonly admissions = new Map<number, { plan: Plan; at: number }>();
+  private booked = new Set<string>();
+  /** When the last plan has each job end. */
+  private readonly ends = new Map<number, number>();
+  private endsOf: Planner['lastPlan'] = null;
+
+  constructor(
+    private readonly world: World,
+    private readonly table: JobTable,
+    private readonly fleet: Fleet,
+    private readonly estimates: Estimates,
+    private readonly outlook: Outlook,
+    private readonly waiting: Waiting,
+    private readonly supply: Supply,
+    private readonly starts: Starts,
+    private readonly preemption: Preemption,
+    private readonly demand: Demand,
+  ) {}
+
+  /** Whether something is booked on a machine. */
+  hasBooked(machine: string): boolean {
+    return this.booked.has(machine);
+  }
+
+  /** Whether a job fits into its team's guarantee together with the team's earlier ones. */
+  isGuaranteed(job: Job): boolean {
+    return this.guaranteed.has(job);
+  }
+
+  /** When the last task of a job ends, as booked. */
+  expectedEnd(job: Job, now: number): number {
+    if (this.endsOf !== this.lastPlan) {
+      this.endsOf = this.lastPlan;
+      this.ends.clear();
+      for (const b of this.lastPlan?.plan.bookings ?? [])
+        this.ends.set(b.job.id, Math.max(this.ends.get(b.job.id) ?? 0, b.end * 1000));
+    }
+    let end = this.ends.get(job.order) ?? 0;
+    for (const h of job.places.values()) end = Math.max(end, this.estimates.heldEnd(h, now));
+    return end > now ? end : now + this.estimates.runS(job.spec) * 1000;
+  }
+
+  /**
+   * By priority; then what teams are guaranteed before what they borrow, so that one cannot starve another; then as
+   * accepted. Of the least urgent work, what is little goes before what is much and was accepted not long before: it runs
+   * in what others leave, and a swarm of tiny jobs would wait for hours of idle-time work.
+   */
+  private inOrder(): Job[] {
+    // What waits for other jobs takes no part in limits and guarantees.
+    const jobs = [...this.table.jobs.values()]
+      .filter((j) => j.waitsFor.size === 0)
+      .sort((a, b) => a.order - b.order);
+    const { whole, partly } = withinGuarantee(jobs, this.world.settings.teams);
+    this.guaranteed = whole;
+    const rank = (job: Job) => (partly.has(job) ? 0 : 1);
+    const low = new Map<Job, number>();
+    const cpus = Math.max(1, this.cpus());
+    for (const job of jobs) {
+      if (job.priority > PRIORITY.low) continue;
+      const workS =
+        ((job.spec.tasks - job.done.count) * job.need.cpus * this.estimates.runS(job.spec)) / cpus;
+      low.set(job, job.acceptedWall + workS * 1000 * LOW_WORK_FACTOR);
+    }
+    return jobs.sort(
+      (a, b) =>
+        b.priority - a.priority ||
+        rank(a) - rank(b) ||
+        (low.get(a) ?? 0) - (low.get(b) ?? 0) ||
+        a.order - b.order,
+    );
+  }
+
+  /** What the shard's machines have that are in use. */
+  private cpus(): number {
+    const now = this.world.clock.now();
+    let cpus = 0;
+    for (const m of this.fleet.machines.values()) {
+      if (!m.leaving && !m.lost && m.closedUntil <= now) cpus += this.world.catalog.size(m.type).cpus;
+    }
+    return cpus;
+  }
+
+  /**
+   * Whether the plan finishes all tasks of a job by its deadline; returns the deadline in seconds from now, or null to
+   * refuse. What is booked stays, except that work of lower priority that has not started comes after.
+   */
+  admit(job: Job, needs: ReadonlySet<string>): number | null {
+    const now = this.world.clock.now();
+    if (job.spec.kind === 'service') return 1e7;
+    const plan = this.admissionPlan(job.priority, now);
+    const mark = plan.bookings.length;
+    // A job that waits begins no earlier than what it waits for is planned to end.
+    const p = this.outlook.job(job, now, needs.size > 0 ? this.waiting.releaseAt(needs, now) : null)!;
+    let dueS = job.spec.deadlineS;
+    if (dueS !== null) {
+      const finish = plan.book({ ...p, deadline: now / 1000 + dueS });
+      if (finish === null || finish > now / 1000 + dueS) {
+        plan.undo(mark);
+        return null;
+      }
+    } else {
+      const earliest = plan.earliestFinish(p);
+      dueS = defaultDueS(
+        this.world,
+        earliest === null ? null : earliest - now / 1000,
+        this.estimates.runS(job.spec),
+      );
+      plan.book({ ...p, deadline: now / 1000 + dueS });
+    }
+    // Work of lower priority comes after this job from now on.
+    for (const priority of this.admissions.keys()) {
+      if (priority < job.priority) this.admissions.delete(priority);
+    }
+    return dueS;
+  }
+
+  /** All that work of a priority has to leave in its place, on the machines that there are or could be rented. */
+  private admissionPlan(priority: number, now: number): Plan {
+    const known = this.admissions.get(priority);
+    if (known && now - known.at < ADMIT_FRESH_MS) return known.plan;
+    const { machines, refs } = this.outlook.machines(now);
+    const places = this.outlook.keptPlaces(this.lastPlan, refs);
+    for (const o of this.supply.options(now)) {
+      for (let i = 0; i < 2; i++) machines.push(this.outlook.virtual(o, (now + o.bootS * 1100) / 1000));
+    }
+    const plan = this.outlook.plan(now, machines);
+    for (const other of this.inOrder()) {
+      if (other.priority < priority) break;
+      const p = other.notBefore > now ? null : this.outlook.job(other, now);
+      if (p && plan.looks < LOOKS_MOST) book(plan, p, places.get(p.id));
+    }
+    for (const other of this.table.jobs.values()) {
+      if (other.waitsFor.size === 0 || other.doomed || other.priority < priority) continue;
+      const p = this.outlook.job(other, now, this.waiting.releaseAt(other.waitsFor, now));
+      if (p && plan.looks < LOOKS_MOST) plan.book(p);
+    }
+    // A plan that took long to make serves longer.
+    const at = this.world.clock.now();
+    const longer = this.pauseAfter(at - now);
+    this.admissions.set(priority, { plan, at: at + longer });
+    return plan;
+  }
+
+  schedule(now: number): void {
+    const { machines, refs } = this.outlook.machines(now);
+    const plan = this.outlook.plan(now, machines);
+    const unplaced: { job: Job; plan: PlanJob }[] = [];
+    const byOrder = new Map<number, Job>();
+    // Now and then all is booked anew, so that work moves up into room that has come free; between, only the next jobs.
+    const anew = now >= this.bookAnewAt;
+    const places = anew ? null : this.outlook.keptPlaces(this.lastPlan, refs);
+    for (const job of this.inOrder()) {
+      if (job.notBefore > now) continue;
+      const p = this.outlook.job(job, now);
+      if (!p) continue;
+      byOrder.set(p.id, job);
+      const kept = byOrder.size > BOOKED_ANEW ? places?.get(p.id) : undefined;
+      const booked = plan.looks < LOOKS_MOST ? book(plan, p, kept) : plan.bookNow(p) === p.tasks.length;
+      if (!booked) unplaced.push({ job, plan: p });
+    }
+    plan.startEarly();
+    const after = this.world.clock.now();
+    if (anew) this.bookAnewAt = after + Math.max(BOOK_ANEW_MS, (after - now) * BOOK_ANEW_SHARE);
+    this.lastPlan = { plan, refs };
+    this.booked.clear();
+    for (const b of plan.bookings) {
+      const m = refs[b.machine];
+      if (m) this.booked.add(m.id);
+    }
+    this.starts.dispatch(plan, refs, byOrder, now);
+    const waiting = new Set<Job>(unplaced.map((u) => u.job));
+    for (const b of plan.bookings) {
+      const job = byOrder.get(b.job.id);
+      if (job && b.start > now / 1000 + PREEMPT_WAIT_S) waiting.add(job);
+    }
+    for (const job of waiting) if (job.suspect) waiting.delete(job);
+    this.preemption.makeRoom(waiting, now);
+    this.demand.assess(plan, unplaced, byOrder, now);
+  }
+
+  /** How long after a plan that took so long no other is made. */
+  pauseAfter(ms: number): number {
+    return Math.min(PLAN_PAUSE_MOST_MS, ms * this.pauseShare);
+  }
+
+  /** How many times as long as a plan took the pause after it is. */
+  private get pauseShare(): number {
+    return 1 / (PLAN_SHARE * Math.min(1, this.world.settings.limits.cores)) - 1;
+  }
+}
+
+/** The deadline of a job without one, in seconds from now: from the earliest finish in the plan, if there is one. */
+export function defaultDueS(world: World, finishS: number | null, runS: number): number {
+  // No machine in sight: the longest way, from renting one on.
+  const longest = Math.max(60, ...world.catalog.all().map(([, t]) => t.bootS)) * 2 + runS;
+  return DEFAULT_SLACK * (finishS ?? longest);
+}
--- a/src/shards/preemption.ts
+++ b/src/shard/preemption.ts
@@ -2,11 +2,11 @@
 import { type Job, openCount } from '../jobs/job.js';
 import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
+import type { Need } from '../supply/gossip.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet } from '../workers/fleet.js';
 import type { Held, Machine } from '../workers/machine.js';
-import type { Need } from './gossip.js';
-import type { World } from './world.js';
+import type { World } from '../world/world.js';
 
 /** Room is not made twice for a job within the pause, and not looked for again at once when there is none to be made. */
 const PREEMPT_PAUSE_MS = 12_000;
--- /dev/null
+++ b/src/shard/questions.ts
@@ -0,0 +1,186 @@
+import type { Log } from '../config/log.js';
+import type { Job, JobEntry } from '../jobs/job.js';
+import { type JobRecords, NotOwner } from '../jobs/records.js';
+import { waits } from '../jobs/standing.js';
+import type { JobSpec } from '../wire/users.js';
+import type { World } from '../world/world.js';
+import { NOT_READY, OwnerAway, type StatusAnswer, type SubmitAnswer, Unavailable } from './answers.js';
+import type { Planner } from './planner.js';
+import type { Progress } from './progress.js';
+import type { JobTable } from './table.js';
+import { Turns } from './turns.js';
+import type { Waiting } from './waiting.js';
+
+/** A new job is turned away when it would wait longer than this to be stored. */
+const ACCEPT_WAIT_MS = 700;
+/** New jobs for each change that the state service takes: one to accept one, and some for what else goes on. */
+const JOBS_PER_CHANGE = 0.6;
+/** Jobs that are cancelled together with one that they need: so many at a time, beside all else that is stored. */
+const DOOMED_AT_ONCE = 8;
+
+export interface QuestionHooks {
+  ready(): boolean;
+  entitled(): boolean;
+  lostOwnership(): Error;
+  stir(): void;
+}
+
+/** What users ask of a shard's owner: to accept a job, how it stands, to cancel it. */
+export class Questions {
+  private readonly turns: Turns;
+  private readonly ending = new Set<Job>();
+
+  constructor(
+    private readonly world: World,
+    private readonly index: number,
+    private readonly table: JobTable,
+    private readonly records: JobRecords,
+    private readonly planner: Planner,
+    private readonly progress: Progress,
+    private readonly waiting: Waiting,
+    private readonly log: Log,
+    private readonly hooks: QuestionHooks,
+  ) {
+    this.turns = new Turns(world.clock);
+  }
+
+  check(): void {
+    if (!this.hooks.ready()) throw new OwnerAway(NOT_READY);
+  }
+
+  async submit(spec: JobSpec): Promise<SubmitAnswer> {
+    this.check();
+    // More submissions than the state service takes are told at once to come back: waiting here until their users have
+    // given up, they would be stored for nobody, and sent once more.
+    if (!this.table.known(spec.id) && this.world.store.delayMs > ACCEPT_WAIT_MS)
+      return { kind: 'busy', retryS: this.turns.take(this.world.store.changesPerSecond * JOBS_PER_CHANGE) };
+    return this.table.mutex(spec.id).runExclusive(async (): Promise<SubmitAnswer> => {
+      const known = this.table.known(spec.id);
+      if (known) return { kind: 'known', status: this.tellable(spec.id, known).status };
+      const needs = await this.waiting.openOf(spec);
+      if ('never' in needs) return { kind: 'never', needs: needs.never };
+      this.check();
+      const wall = this.world.clock.wall();
+      const trial = this.table.make(spec, wall, 0, true, 0);
+      // A job that names a cancelled one is accepted and cancelled.
+      const finish = needs.cancelled ? 0 : this.planner.admit(trial, needs.open);
+      if (finish === null) {
+        const entry = await this.records.entry(spec.id);
+        if (entry) return this.repeated(spec.id, entry);
+        this.table.forgetMutex(spec.id);
+        return { kind: 'refused', retryS: 3 };
+      }
+      const deadline = Math.round(wall + finish * 1000);
+      const accepted = await this.catchLoss(
+        this.records.accept({ spec, accepted: wall, deadline }, this.table.uniqueName('a')),
+      );
+      if (accepted.kind === 'known') return this.repeated(spec.id, accepted.entry);
+      this.check();
+      // Somebody who asked for the job while its acceptance was under way may have had it loaded, and tasks of it may
+      // run by now: a second copy in its place would know nothing of them and start them again.
+      const recalled = this.table.known(spec.id);
+      if (recalled) return { kind: 'known', status: this.tellable(spec.id, recalled).status };
+      trial.version = accepted.version;
+      trial.partsUnder = accepted.partsUnder;
+      trial.deadlineWall = deadline;
+      trial.dueWall = deadline;
+      this.table.jobs.set(spec.id, trial);
+      this.waiting.add([trial]);
+      this.log.info(
+        { job: spec.id, team: spec.team, tasks: spec.tasks, deadlineInS: Math.round(finish) },
+        'job accepted',
+      );
+      this.hooks.stir();
+      if (!needs.cancelled) return { kind: 'accepted' };
+      this.progress.end(trial, await this.catchLoss(this.records.finish(trial, 'cancelled')));
+      return { kind: 'accepted', cancelled: true };
+    });
+  }
+
+  private async repeated(id: string, entry: JobEntry): Promise<SubmitAnswer> {
+    if (entry.final) return { kind: 'known', status: entry.final };
+    if (entry.shard !== this.index) {
+      // Its owner knows whether it is about to be cancelled with one that it waits for.
+      if (waits(entry)) throw new Unavailable('the job is in another shard');
+      return { kind: 'known', status: 'queued' };
+    }
+    const status = await this.recall(id);
+    if (!status) throw new Unavailable('job not found in its shard');
+    return { kind: 'known', status: this.tellable(id, status).status };
+  }
+
+  /** A job whose acceptance was applied late is stored but not in memory. */
+  async recall(id: string): Promise<StatusAnswer | null> {
+    const known = this.table.known(id);
+    if (known) return known;
+    const loaded = await this.records.loadOne(id);
+    this.check();
+    if (!loaded) return this.table.known(id);
+    if (!this.table.endedAs(id) && !this.table.jobs.has(id)) this.waiting.add([this.progress.adopt(loaded)]);
+    this.hooks.stir();
+    return this.table.known(id);
+  }
+
+  private async catchLoss<T>(work: Promise<T>): Promise<T> {
+    try {
+      return await work;
+    } catch (error) {
+      if (error instanceof NotOwner) {
+        this.hooks.lostOwnership();
+        throw new Unavailable('the shard has moved');
+      }
+      throw error;
+    }
+  }
+
+  async status(id: string): Promise<StatusAnswer | null> {
+    this.check();
+    const answer = this.table.known(id) ?? (await this.recall(id));
+    this.check();
+    return answer && this.tellable(id, answer);
+  }
+
+  /** Of a job that may have to be cancelled with one that it needs, nothing is told that may be wrong. */
+  private tellable(id: string, answer: StatusAnswer): StatusAnswer {
+    const job = this.table.jobs.get(id);
+    if (job && !this.waiting.mayTell(job)) throw new Unavailable('what the job waits for is not known now');
+    return answer;
+  }
+
+  async cancel(id: string): Promise<'done' | 'cancelled' | null> {
+    this.check();
+    if (!this.table.known(id)) await this.recall(id);
+    const job = this.table.jobs.get(id);
+    if (job) {
+      // From here on nothing of it starts, also while the state service does not answer.
+      job.notBefore = Number.POSITIVE_INFINITY;
+      await this.table.mutex(id).runExclusive(async () => {
+        if (job.state !== 'active') return;
+        this.check();
+        this.progress.end(job, await this.catchLoss(this.records.finish(job, 'cancelled')));
+      });
+      return job.state === 'active' ? null : job.state;
+    }
+    return this.table.endedAs(id);
+  }
+
+  /** Cancels jobs of which one that they need was cancelled; what cannot be stored now is tried again. */
+  endDoomed(): void {
+    for (const job of this.table.jobs.values()) {
+      if (!job.doomed || this.ending.has(job)) continue;
+      if (this.ending.size >= DOOMED_AT_ONCE) return;
+      this.ending.add(job);
+      void this.table
+        .mutex(job.spec.id)
+        .runExclusive(async () => {
+          if (job.state !== 'active' || !this.hooks.entitled()) return;
+          this.progress.end(job, await this.catchLoss(this.records.finish(job, 'cancelled')));
+        })
+        .catch((error) => this.log.debug({ job: job.spec.id, error: String(error) }, 'not cancelled yet'))
+        .finally(() => {
+          this.ending.delete(job);
+          if (job.state !== 'active') this.endDoomed();
+        });
+    }
+  }
+}
--- a/src/shards/starts.ts
+++ b/src/shard/starts.ts
@@ -5,7 +5,7 @@
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet, StartOrder } from '../workers/fleet.js';
 import type { Held, Machine } from '../workers/machine.js';
-import type { World } from './world.js';
+import type { World } from '../world/world.js';
 
 const ATTEMPTS_PER_TERM = 2 ** 20;
 /**
--- /dev/null
+++ b/src/shard/table.ts
@@ -0,0 +1,101 @@
+import { Mutex } from 'async-mutex';
+import { type Job, jobStatus, makeJob } from '../jobs/job.js';
+import type { Amounts } from '../plan/profile.js';
+import type { JobSpec } from '../wire/users.js';
+import type { Held } from '../workers/machine.js';
+import type { World } from '../world/world.js';
+import type { StatusAnswer } from './answers.js';
+
+interface Ended {
+  status: 'done' | 'cancelled';
+  tasks: number;
+  team: number;
+  need: Amounts;
+}
+
+const ENDED_KEPT = 5000;
+
+/** The jobs of one shard in memory: the unfinished ones, and how those ended that ended not long ago. */
+export class JobTable {
+  readonly jobs = new Map<string, Job>();
+  private readonly ended = new Map<string, Ended>();
+  private readonly mutexes = new Map<string, Mutex>();
+  /** What a task of each class takes, as last seen. */
+  readonly needs = new Map<string, Amounts>();
+  private order = 0;
+
+  constructor(
+    private readonly world: World,
+    private readonly index: number,
+    private readonly term: number,
+  ) {}
+
+  make(spec: JobSpec, accepted: number, deadline: number, fresh: boolean, version: number): Job {
+    const n = this.world.names;
+    this.needs.set(spec.class, { cpus: spec.cpus, gpus: spec.gpus, memoryGb: spec.memoryGb });
+    return makeJob(
+      spec,
+      { accepted, deadline, order: accepted * 4096 + (this.order++ % 4096), fresh, version },
+      {
+        team: n.teams.find(spec.team) ?? -1,
+        types: spec.types && new Set(spec.types.map((t) => n.types.index(t))),
+        zone: spec.zone === null ? null : n.zones.index(spec.zone),
+        image: n.images.index(spec.image),
+      },
+    );
+  }
+
+  /** Acceptance, completion and cancellation of one job go one after the other. */
+  mutex(id: string): Mutex {
+    let m = this.mutexes.get(id);
+    if (!m) {
+      m = new Mutex();
+      this.mutexes.set(id, m);
+    }
+    return m;
+  }
+
+  /** A submission that came to nothing leaves nothing behind. */
+  forgetMutex(id: string): void {
+    this.mutexes.delete(id);
+  }
+
+  endedAs(id: string): 'done' | 'cancelled' | null {
+    return this.ended.get(id)?.status ?? null;
+  }
+
+  known(id: string): StatusAnswer | null {
+    const job = this.jobs.get(id);
+    if (job) return jobStatus(job);
+    const ended = this.ended.get(id);
+    return ended ? endedStatus(ended.status, ended.tasks) : null;
+  }
+
+  /** Moves a job to those that have ended. */
+  end(job: Job, status: 'done' | 'cancelled'): void {
+    job.state = status;
+    job.stored = job.done.count;
+    const id = job.spec.id;
+    this.jobs.delete(id);
+    this.mutexes.delete(id);
+    this.ended.set(id, { status, tasks: job.spec.tasks, team: job.team, need: job.need });
+    for (const old of this.ended.keys()) {
+      if (this.ended.size <= ENDED_KEPT) break;
+      this.ended.delete(old);
+    }
+  }
+
+  /** Whose a task on a machine is, and what it takes there. */
+  useOf(h: Held): { team: number; need: Amounts; spec?: JobSpec } | null {
+    return this.jobs.get(h.job) ?? this.ended.get(h.job) ?? null;
+  }
+
+  /** A name that nobody ever uses again: a shard can come back to the same process, but never with the same term. */
+  uniqueName(kind: string): string {
+    return `${this.world.run}-${kind}${this.index}-${this.term}-${this.order++}`;
+  }
+}
+
+function endedStatus(status: 'done' | 'cancelled', tasks: number): StatusAnswer {
+  return { status, done: status === 'done' ? tasks : 0, running: 0 };
+}
--- a/src/shards/deputy.ts
+++ b/src/shards/deputy.ts
@@ -1,10 +1,11 @@
 import { JobRecords, NotOwner } from '../jobs/records.js';
+import { KEYS } from '../keys/keys.js';
+import { type SubmitAnswer, Unavailable } from '../shard/answers.js';
+import { defaultDueS } from '../shard/planner.js';
 import { StateFailure } from '../state/store.js';
 import type { JobSpec } from '../wire/users.js';
-import { KEYS } from './keys.js';
+import type { World } from '../world/world.js';
 import type { Members } from './members.js';
-import { defaultDueS, type SubmitAnswer, Unavailable } from './shard.js';
-import type { World } from './world.js';
 
 /** When the owner that comes back, or comes next, is asked for the job, and how often again until it answers. */
 const FIRST_MS = 500;
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -1,13 +1,12 @@
 import { mostMachines } from '../config/settings.js';
 import { valueBytes } from '../jobs/records.js';
-import { fitCount } from '../plan/profile.js';
+import { KEYS, type MachineRecord, readParting } from '../keys/keys.js';
 import { StateFailure } from '../state/store.js';
+import type { Gossip, Need } from '../supply/gossip.js';
+import { chooseCeding, chooseClearing, matchSpares, shardFor } from '../supply/moves.js';
 import type { ListedMachine } from '../wire/cloud.js';
-import { PRIORITY } from '../wire/users.js';
-import type { Gossip, Need, Spare } from './gossip.js';
-import { KEYS, type MachineRecord, readParting } from './keys.js';
+import type { World } from '../world/world.js';
 import type { Mirror } from './mirror.js';
-import type { World } from './world.js';
 
 /** What a machine that nobody has been given says of itself. */
 export interface Stray {
@@ -19,21 +18,27 @@
   ageS: number;
 }
 
+export interface LeaderHooks {
+  /** Whether this node's lease surely lasts. */
+  valid(): boolean;
+  /** The owner of a shard gives an empty machine to another. */
+  giveAway(shard: number, machine: string, to: number): Promise<boolean>;
+  /** The owner of a shard clears a machine for another's more urgent work. */
+  vacate(shard: number, machine: string, to: number, priority: number): Promise<boolean>;
+  /** The owner of a shard promises a machine whose tasks end soon. */
+  cede(shard: number, to: number, need: Need, zone: string): Promise<boolean>;
+  /** Whether every node understands what the first version did not. */
+  allRead(): boolean;
+}
+
 const ACT_MS = 250;
 const GOSSIP_MS = 4000;
 const GIVEN_MS = 2500;
 /** Machines dealt in one transaction; together with their conditions they stay well below the largest request. */
 const DEALT_TOGETHER = 24;
 const DEALT_LEAST = 12;
-/** Lesser work elsewhere is stopped for urgent tasks only when they would wait longer than this, one machine at a time. */
-const CLEAR_WAIT_S = 8;
 const CLEAR_PAUSE_MS = 700;
-/** A machine is ceded where urgent work waits at least so long, and so much longer than in the shard that cedes it. */
-const CEDE_LEAST_S = 12;
-const CEDE_FACTOR = 1.25;
-const CEDE_MARGIN_S = 6;
 const CEDE_PAUSE_MS = 300;
-const CEDE_FEWEST = 3;
 const CEDE_AIM_S = 120;
 const CEDE_AIM_SHARE = 1;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
@@ -57,17 +62,7 @@
     private readonly mirror: Mirror,
     /** Zone of the node that a shard is at home on. */
     private readonly zoneOf: (shard: number) => string,
-    private readonly valid: () => boolean,
-    private readonly giveAway: (shard: number, machine: string, to: number) => Promise<boolean>,
-    private readonly vacate: (
-      shard: number,
-      machine: string,
-      to: number,
-      priority: number,
-    ) => Promise<boolean>,
-    private readonly cede: (shard: number, to: number, need: Need, zone: string) => Promise<boolean>,
-    /** Whether every node understands what the first version did not. */
-    private readonly allRead: () => boolean,
+    private readonly hooks: LeaderHooks,
   ) {}
 
   start(): void {
@@ -108,7 +103,7 @@
 
   private loop(): void {
     if (this.stopped) return;
-    if (this.valid() && this.mirror.ready) {
+    if (this.hooks.valid() && this.mirror.ready) {
       void this.partTeams();
       void this.deal();
       this.move();
@@ -154,7 +149,7 @@
   /** The parting in as many records as the state service's limit asks for, the first last: it tells that all are there. */
   private partingRecords(parted: Record<string, number>): [string, Record<string, number>][] {
     const most = valueBytes(this.world.settings.stateLimits.valueKb);
-    if (!this.allRead()) return [[KEYS.teams, parted]];
+    if (!this.hooks.allRead()) return [[KEYS.teams, parted]];
     const records: Record<string, number>[] = [{}];
     let bytes = 2;
     for (const [team, shard] of Object.entries(parted)) {
@@ -307,19 +302,19 @@
       if (this.given.has(m.machine) || counts[m.to]! >= most) continue;
       counts[m.to]!++;
       this.given.set(m.machine, now);
-      void this.giveAway(m.from, m.machine, m.to).catch(() => undefined);
+      void this.hooks.giveAway(m.from, m.machine, m.to).catch(() => undefined);
     }
     const ceding = now - this.cededAt < CEDE_PAUSE_MS ? null : chooseCeding(fresh, this.cedeMostS());
     if (ceding && counts[ceding.to]! < most) {
       this.cededAt = now;
-      void this.cede(ceding.from, ceding.to, ceding.need, ceding.zone).catch(() => undefined);
+      void this.hooks.cede(ceding.from, ceding.to, ceding.need, ceding.zone).catch(() => undefined);
     }
     if (now - this.clearedAt < CLEAR_PAUSE_MS) return;
     const clear = chooseClearing(fresh, sizeOf);
     if (!clear || this.given.has(clear.machine)) return;
     this.clearedAt = now;
     this.given.set(clear.machine, now);
-    void this.vacate(clear.from, clear.machine, clear.to, clear.priority).catch(() => undefined);
+    void this.hooks.vacate(clear.from, clear.machine, clear.to, clear.priority).catch(() => undefined);
   }
 
   /** A shard cedes machines as long as its own urgent work still meets the hastiest aim for a start. */
@@ -334,162 +329,6 @@
   private cededAt = Number.NEGATIVE_INFINITY;
 }
 
-/**
- * From which shard to which a machine should go as its tasks end, where urgent work waits much longer in one than in
- * another: on full days no machine is ever empty, and shards would stay as they were parted.
- */
-export function chooseCeding(
-  told: readonly Gossip[],
-  mostS: number,
-): { from: number; to: number; need: Need; zone: string } | null {
-  let to: Gossip | null = null;
-  for (const g of told) if (!to || g.urgentS > to.urgentS) to = g;
-  const need = to?.needs.find((n) => n.priority >= PRIORITY.high);
-  if (!to || !need || to.urgentS < CEDE_LEAST_S) return null;
-  let from: Gossip | null = null;
-  for (const g of told) {
-    if (g.shard === to.shard || g.machines < CEDE_FEWEST) continue;
-    if (!from || g.urgentS < from.urgentS) from = g;
-  }
-  // Where urgent work waits long itself nothing is gained: when all wait equally long, all may miss their aims.
-  if (!from || from.urgentS > mostS || from.urgentS * CEDE_FACTOR + CEDE_MARGIN_S > to.urgentS) return null;
-  return { from: from.shard, to: to.shard, need, zone: to.zone };
-}
-
-export interface Move {
-  machine: string;
-  from: number;
-  to: number;
-}
-
-/** Which empty machines go to which shard: the most urgent and then earliest due need first. */
-export function matchSpares(
-  told: readonly Gossip[],
-  sizeOf: (type: string) => { cpus: number; gpus: number; memoryGb: number },
-): Move[] {
-  const needs: { shard: number; need: Need }[] = told.flatMap((g) =>
-    g.needs.map((need) => ({ shard: g.shard, need })),
-  );
-  needs.sort(
-    (a, b) =>
-      b.need.priority - a.need.priority ||
-      Number(b.need.guaranteed) - Number(a.need.guaranteed) ||
-      a.need.deadline - b.need.deadline,
-  );
-  const kinds = spareKinds(told);
-  const zones = new Map(told.map((g) => [g.shard, g.zone]));
-  const moves: Move[] = [];
-  for (const { shard, need } of needs) {
-    let left = need.count;
-    const fitting = kinds
-      .filter((k) => spareFits(k.like, need) && fitCount(sizeOf(k.like.type), need, 1) > 0)
-      // Machines with GPUs last for tasks that need none.
-      .sort(
-        (a, b) =>
-          waste(a.like, need, sizeOf) - waste(b.like, need, sizeOf) ||
-          Number(b.like.zone === zones.get(shard)) - Number(a.like.zone === zones.get(shard)),
-      );
-    // Its own first: they are already where the tasks are.
-    for (const own of [true, false]) {
-      for (const k of fitting) {
-        const per = fitCount(sizeOf(k.like.type), need, need.count);
-        for (const [from, ids] of k.byShard) {
-          if ((from === shard) !== own) continue;
-          while (left > 0 && ids.length > 0) {
-            const machine = ids.shift()!;
-            left -= per;
-            if (!own) moves.push({ machine, from, to: shard });
-          }
-        }
-      }
-    }
-  }
-  return moves;
-}
-
-/** Empty machines by type, zone and whether they are spot ones: there are far fewer kinds than machines. */
-function spareKinds(told: readonly Gossip[]): { like: Spare; byShard: Map<number, string[]> }[] {
-  const kinds = new Map<string, { like: Spare; byShard: Map<number, string[]> }>();
-  for (const g of told) {
-    for (const s of g.spares) {
-      const key = `${s.type} ${s.zone} ${s.spot}`;
-      let kind = kinds.get(key);
-      if (!kind) {
-        kind = { like: s, byShard: new Map() };
-        kinds.set(key, kind);
-      }
-      const ids = kind.byShard.get(g.shard);
-      if (ids) ids.push(s.id);
-      else kind.byShard.set(g.shard, [s.id]);
-    }
-  }
-  return [...kinds.values()];
-}
-
-/** A machine with nothing but lesser work, for the most urgent tasks that would wait long in their own shard. */
-export function chooseClearing(
-  told: readonly Gossip[],
-  sizeOf: (type: string) => { cpus: number; gpus: number; memoryGb: number },
-): (Move & { priority: number }) | null {
-  const needs = told
-    .flatMap((g) => g.needs.map((need) => ({ shard: g.shard, need })))
-    .filter((n) => n.need.priority >= PRIORITY.high && n.need.waitS > CLEAR_WAIT_S)
-    .sort((a, b) => b.need.priority - a.need.priority || a.need.deadline - b.need.deadline);
-  for (const { shard, need } of needs) {
-    const soft = told
-      .filter((g) => g.shard !== shard)
-      .flatMap((g) => g.soft.map((s) => ({ shard: g.shard, s })))
-      .filter(
-        (x) => x.s.top < need.priority && spareFits(x.s, need) && fitCount(sizeOf(x.s.type), need, 1) > 0,
-      )
-      .sort((a, b) => a.s.top - b.s.top || waste(a.s, need, sizeOf) - waste(b.s, need, sizeOf));
-    const first = soft[0];
-    if (first) return { machine: first.s.id, from: first.shard, to: shard, priority: need.priority };
-  }
-  return null;
-}
-
-function waste(s: Spare, need: Need, sizeOf: (type: string) => { gpus: number }): number {
-  return need.gpus === 0 ? sizeOf(s.type).gpus : 0;
-}
-
-function spareFits(s: Spare, need: Need): boolean {
-  return (
-    (!need.types || need.types.includes(s.type)) &&
-    (need.zone === null || need.zone === s.zone) &&
-    (need.spot || !s.spot)
-  );
-}
-
-/** A shard as it is weighed for a machine of some type in some zone. */
-export interface Taker {
-  /** What its teams are guaranteed. */
-  weight: number;
-  /** Its machines of this type, and those of them in the machine's zone. */
-  have: number;
-  haveInZone: number;
-  /** At home in the machine's zone. */
-  near: boolean;
-}
-
-/**
- * The shard with the fewest machines of a type for what its teams are guaranteed. Shards at home in the machine's zone
- * come first up to their fair part: between zones that cannot reach each other a machine loses all its tasks, since no
- * node that it reaches may answer it.
- */
-export function shardFor(shards: readonly Taker[], unassigned: number): number {
-  const all = shards.reduce((sum, s) => sum + s.have, unassigned);
-  const weights = shards.reduce((sum, s) => sum + s.weight, 0);
-  const first = (s: Taker) => s.near && s.have < (all * s.weight) / weights;
-  const need = (s: Taker) => (s.have + 0.001 * s.haveInZone + 0.5) / s.weight;
-  let best = 0;
-  shards.forEach((s, i) => {
-    const b = shards[best]!;
-    if (first(s) !== first(b) ? first(s) : need(s) < need(b)) best = i;
-  });
-  return best;
-}
-
 /** Spreads teams over the shards by their guarantees, the largest first. */
 export function partTeams(
   teams: readonly { name: string; cpus: number; gpus: number }[],
--- a/src/shards/mailbox.ts
+++ b/src/shards/mailbox.ts
@@ -1,10 +1,10 @@
 import * as v from 'valibot';
 import { pause, type Timer } from '../clock/clock.js';
+import { KEYS } from '../keys/keys.js';
 import { StateFailure } from '../state/store.js';
 import type { Entry } from '../wire/state.js';
-import { KEYS } from './keys.js';
+import type { World } from '../world/world.js';
 import type { Mirror } from './mirror.js';
-import type { World } from './world.js';
 
 const letterValue = v.object({
   shard: v.number(),
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -1,7 +1,7 @@
 import { type Clock, DRIFT, pause } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
+import { type Holder, KEYS, LEVEL, readHolder } from '../keys/keys.js';
 import { StateFailure, type StateStore } from '../state/store.js';
-import { type Holder, KEYS, LEVEL, readHolder } from './keys.js';
 import { Mirror } from './mirror.js';
 
 export const LEASE_MS = 8000;
--- /dev/null
+++ b/src/shards/ownership.ts
@@ -0,0 +1,287 @@
+import { pause } from '../clock/clock.js';
+import { KEYS, readMachineRecord } from '../keys/keys.js';
+import type { Others } from '../shard/answers.js';
+import { Shard } from '../shard/shard.js';
+import { WORKER_PATHS } from '../wire/workers.js';
+import type { World } from '../world/world.js';
+import { Leader, type LeaderHooks } from './leader.js';
+import type { Members } from './members.js';
+import { Reach } from './reach.js';
+
+const CLAIM_MS = 200;
+/** How long a shard stays its dead home node's to take again. */
+const ADOPT_AFTER_MS = 1500;
+const HAND_BACK_AFTER_MS = 6000;
+/** A node that stands aside takes a shard all the same when nobody else has for so long. */
+const NOBODY_ELSE_MS = 12_000;
+/** Machines that are asked whether this node reaches them again, and how many must answer. */
+const PROBES = 5;
+const PROBES_ANSWERED = 3;
+const PROBE_MS = 1500;
+
+/** What this node owns: the shards that it takes, gives back and leaves to others, and the leadership when it has it. */
+export class Ownership {
+  readonly shards = new Map<number, Shard>();
+  readonly reach: Reach;
+  leader: Leader | null = null;
+  /** All nodes of the settings, in the order in which they take what nobody has. */
+  readonly order: string[];
+  private readonly zones: Map<string, string>;
+  private readonly ownerGoneSince = new Map<string, number>();
+  private readonly homeSince = new Map<number, number>();
+  private probing = false;
+  /**
+   * Terms under which this node has owned a shard and does so no more. None is ever taken up again: tokens and attempts
+   * would be those of the former ownership, whose orders may still be under way.
+   */
+  private readonly spentTerms = new Set<number>();
+  private readonly claiming = new Set<string>();
+
+  constructor(
+    private readonly world: World,
+    private readonly members: Members,
+    /** What a shard here needs of the others, and the leader of all. */
+    private readonly others: Others,
+    private readonly leading: LeaderHooks,
+  ) {
+    const s = world.settings;
+    this.order = [s.node, ...s.peers.map((p) => p.node)].sort();
+    this.reach = new Reach(world.clock);
+    this.zones = new Map([s, ...s.peers].map((n) => [n.node, n.zone]));
+  }
+
+  /** Looks at what nobody has, and at what this node has, from now on. */
+  start(): void {
+    this.claimLoop();
+  }
+
+  dropAll(): void {
+    for (const shard of [...this.shards.values()]) this.drop(shard);
+    this.leader?.stop();
+    this.leader = null;
+  }
+
+  private drop(shard: Shard): void {
+    shard.stop();
+    this.spentTerms.add(shard.term);
+    if (this.shards.get(shard.index) === shard) this.shards.delete(shard.index);
+  }
+
+  private claimLoop(): void {
+    if (this.members.valid && this.members.mirror.ready) {
+      this.considerStandingAside();
+      for (let k = 0; k < this.world.settings.nodes; k++) this.consider(k);
+      this.considerLeading();
+    }
+    this.world.clock.after(CLAIM_MS, () => this.claimLoop());
+  }
+
+  // --- cut off from the workers
+
+  /** A node that machines cannot reach leaves its shards to others, and comes back when it reaches machines again. */
+  private considerStandingAside(): void {
+    if (this.reach.aside) {
+      if (this.reach.mayReturn && !this.probing) void this.probe();
+      return;
+    }
+    const now = this.world.clock.now();
+    const recent = this.world.settings.workers.leaseS * 1000;
+    const lately = this.world.settings.workers.reportS * 1250 + 500;
+    let known = 0;
+    let coming = 0;
+    for (const s of this.shards.values()) {
+      for (const m of s.fleet.machines.values()) {
+        if (m.heardAt === null || m.lost || now - m.heardAt > recent) continue;
+        known++;
+        if (now - m.heardAt < lately) coming++;
+      }
+    }
+    if (known === 0 || !this.reach.cutOff(known, coming) || this.world.settings.peers.length === 0) return;
+    this.reach.standAside();
+    this.world.log.warn({ machines: known }, 'workers cannot reach this node: leaving its shards to others');
+    const shards = [...this.shards.values()];
+    for (const s of shards) this.drop(s);
+    void this.members
+      .tellAside(true)
+      .catch((error) => this.world.log.info({ error: String(error) }, 'standing aside not told'))
+      .then(() => Promise.all(shards.map((s) => this.release(s.index, s.term))));
+  }
+
+  private async probe(): Promise<void> {
+    this.probing = true;
+    try {
+      const addrs: string[] = [];
+      for (const [key, e] of this.members.mirror.entries) {
+        const record = key.startsWith(KEYS.machines) ? readMachineRecord(e.value) : null;
+        if (record?.addr) addrs.push(record.addr);
+      }
+      const step = Math.max(1, Math.floor(addrs.length / PROBES));
+      const asked = addrs.filter((_, i) => i % step === 0).slice(0, PROBES);
+      const answers = await Promise.all(
+        asked.map((addr) =>
+          this.world.http.request(addr, 'GET', WORKER_PATHS.show, null, PROBE_MS).then(
+            () => 1,
+            () => 0,
+          ),
+        ),
+      );
+      const answered = answers.reduce<number>((sum, n) => sum + n, 0);
+      if (answered < Math.min(PROBES_ANSWERED, asked.length)) return;
+      this.reach.comeBack();
+      this.world.log.info('workers can be reached again');
+      await this.members.tellAside(false);
+    } catch (error) {
+      this.world.log.info({ error: String(error) }, 'coming back not told');
+    } finally {
+      await pause(this.world.clock, PROBE_MS);
+      this.probing = false;
+    }
+  }
+
+  /** Lets another node have a shard that this one has dropped. */
+  private async release(k: number, term: number): Promise<void> {
+    const key = KEYS.owner(k);
+    try {
+      const r = await this.world.store.txn([{ key, version: term }], [{ delete: key }]);
+      if (r.ok) this.members.mirror.remove(key, r.revision);
+    } catch (error) {
+      this.world.log.info({ shard: k, error: String(error) }, 'shard not released');
+    }
+  }
+
+  private home(shard: number): string {
+    return this.order[shard % this.order.length]!;
+  }
+
+  /**
+   * How long this node waits before it takes a key that nobody holds: first the home node, then the others in turn.
+   * Nobody waits for one that stands aside.
+   */
+  private patience(shard: number): number {
+    if (this.reach.aside) return NOBODY_ELSE_MS;
+    const n = this.order.length;
+    let wait = 0;
+    for (let i = 0; this.order[(shard + i) % n] !== this.world.settings.node; i++) {
+      if (!this.members.aside(this.order[(shard + i) % n]!)) wait += ADOPT_AFTER_MS;
+    }
+    return wait;
+  }
+
+  private consider(k: number): void {
+    const key = KEYS.owner(k);
+    const entry = this.members.mirror.entries.get(key);
+    const mine = this.shards.get(k);
+    const now = this.world.clock.now();
+    if (entry) {
+      this.ownerGoneSince.delete(key);
+      const here = this.members.holds(entry.value);
+      if (mine && (!here || mine.term !== entry.version)) {
+        // Somebody else's, or a newer term of this node's.
+        if (entry.version > mine.term) this.drop(mine);
+      }
+      if (here && !this.shards.has(k) && !this.claiming.has(key)) {
+        // A claim that was thought lost has been made after all; or the key of a former ownership is still there.
+        if (this.spentTerms.has(entry.version)) this.releaseSpent(k, entry.version);
+        else this.take(k, entry.version);
+      }
+      if (here && this.shards.has(k)) this.considerHandBack(k);
+      return;
+    }
+    if (mine) {
+      this.drop(mine);
+      return;
+    }
+    const since = this.ownerGoneSince.get(key) ?? now;
+    this.ownerGoneSince.set(key, since);
+    if (now - since < this.patience(k) || this.claiming.has(key)) return;
+    this.claiming.add(key);
+    void this.members
+      .claim(key)
+      .then((term) => {
+        if (term !== null && !this.shards.has(k)) this.take(k, term);
+      })
+      .finally(() => this.claiming.delete(key));
+  }
+
+  private take(k: number, term: number): void {
+    const lease = this.members.leaseId;
+    if (lease === null) return;
+    const shard: Shard = new Shard(
+      this.world,
+      k,
+      term,
+      () => this.members.validUnder(lease),
+      () => this.drop(shard),
+      this.others,
+    );
+    this.shards.set(k, shard);
+    void shard.start();
+  }
+
+  /** A shard taken over goes back when its home node has been up for a while. */
+  private considerHandBack(k: number): void {
+    const home = this.home(k);
+    const now = this.world.clock.now();
+    if (home === this.world.settings.node || !this.members.present(home) || this.members.aside(home)) {
+      this.homeSince.delete(k);
+      return;
+    }
+    const since = this.homeSince.get(k) ?? now;
+    this.homeSince.set(k, since);
+    if (now - since < HAND_BACK_AFTER_MS) return;
+    const shard = this.shards.get(k)!;
+    if (!shard.ready) return;
+    this.homeSince.delete(k);
+    this.world.log.info({ shard: k, to: home }, 'handing back');
+    this.drop(shard);
+    this.releaseSpent(k, shard.term);
+  }
+
+  private releaseSpent(k: number, term: number): void {
+    const key = KEYS.owner(k);
+    this.claiming.add(key);
+    void this.release(k, term).finally(() => this.claiming.delete(key));
+  }
+
+  private considerLeading(): void {
+    const key = KEYS.leader;
+    const entry = this.members.mirror.entries.get(key);
+    const now = this.world.clock.now();
+    if (entry) {
+      this.ownerGoneSince.delete(key);
+      const here = this.members.holds(entry.value);
+      if (!here && this.leader) {
+        this.leader.stop();
+        this.leader = null;
+      }
+      if (here && !this.leader) this.lead(entry.version);
+      return;
+    }
+    if (this.leader) {
+      this.leader.stop();
+      this.leader = null;
+    }
+    const since = this.ownerGoneSince.get(key) ?? now;
+    this.ownerGoneSince.set(key, since);
+    if (now - since < 300 * this.order.indexOf(this.world.settings.node) || this.claiming.has(key)) return;
+    this.claiming.add(key);
+    void this.members
+      .claim(key)
+      .then((term) => {
+        if (term !== null && !this.leader) this.lead(term);
+      })
+      .finally(() => this.claiming.delete(key));
+  }
+
+  private lead(term: number): void {
+    this.leader = new Leader(
+      this.world,
+      term,
+      this.members.mirror,
+      (shard) => this.zones.get(this.home(shard)) ?? '',
+      this.leading,
+    );
+    this.leader.start();
+    this.leader.listed(this.world.catalog.listed);
+  }
+}
--- /dev/null
+++ b/src/shards/routing.ts
@@ -0,0 +1,189 @@
+import { isGuest, type JobEntry } from '../jobs/job.js';
+import { findJob } from '../jobs/records.js';
+import { standing, waits } from '../jobs/standing.js';
+import { readParting } from '../keys/keys.js';
+import { OwnerAway, type StatusAnswer, type SubmitAnswer, Unavailable } from '../shard/answers.js';
+import type { Shard } from '../shard/shard.js';
+import { StateFailure } from '../state/store.js';
+import type { JobSpec } from '../wire/users.js';
+import type { World } from '../world/world.js';
+import { Deputy } from './deputy.js';
+import type { Members } from './members.js';
+import type { Owners } from './owners.js';
+
+const ROUTES_KEPT = 20_000;
+
+/** Where users' questions go, and what is answered without the owner of the job. */
+export class Routing {
+  private readonly deputy: Deputy;
+  private readonly routes = new Map<string, JobEntry>();
+
+  constructor(
+    private readonly world: World,
+    private readonly members: Members,
+    private readonly owners: Owners,
+    /** The shards of this node. */
+    private readonly shards: () => ReadonlyMap<number, Shard>,
+  ) {
+    this.deputy = new Deputy(
+      world,
+      members,
+      () => owners.allRead,
+      (shard, id) => this.confirm(shard, id),
+    );
+  }
+
+  /** Makes a shard's owner read the record of a job that it may not know of. */
+  private async confirm(shard: number, id: string): Promise<boolean> {
+    try {
+      await this.owners.ask(shard, 'status', { id }, (s) => s.status(id));
+      return true;
+    } catch (error) {
+      if (!(error instanceof Unavailable || error instanceof StateFailure)) throw error;
+      return false;
+    }
+  }
+
+  /**
+   * The shard of a job that is submitted; null while teams have not been parted. Jobs without a team go by a hash of their
+   * id, and so do those of a team with neither a guarantee nor a limit: nothing of theirs has to be counted in one place,
+   * and so their small tasks find what is left on the machines of all shards.
+   */
+  shardOf(spec: JobSpec): number | null {
+    const { teams, nodes } = this.world.settings;
+    if (teams.length === 0) return hash(spec.id) % nodes;
+    const parted = readParting(this.members.mirror.entries);
+    const own = parted?.[spec.team];
+    if (!parted || own === undefined) return null;
+    const team = teams.find((t) => t.name === spec.team);
+    if (!team || !isGuest(team)) return own;
+    const shards = new Set<number>();
+    for (const t of teams) if (!isGuest(t) && parted[t.name] !== undefined) shards.add(parted[t.name]!);
+    const among = [...shards].sort((a, b) => a - b);
+    return among.length === 0 ? own : among[hash(spec.id) % among.length]!;
+  }
+
+  private remember(id: string, { shard, final, tasks }: JobEntry): void {
+    this.routes.set(id, final ? { shard, final, tasks: tasks ?? 0 } : { shard });
+    if (this.routes.size > ROUTES_KEPT) this.routes.delete(this.routes.keys().next().value!);
+  }
+
+  /** Where a job is, or how it ended; null only when the state service has never heard of it. */
+  async locate(id: string): Promise<JobEntry | null> {
+    const known = this.routes.get(id);
+    if (known) return known;
+    for (const s of this.shards().values()) if (s.ready && s.job(id)) return { shard: s.index };
+    const entry = await findJob((key) => this.world.store.look(key), id);
+    if (entry) this.remember(id, entry);
+    return entry;
+  }
+
+  /**
+   * How a job stands as far as the state service knows, for when its owner cannot be reached: behind a cut between
+   * zones a user may see no other node for minutes. An end is durable before anyone hears of it, so this is never
+   * older than what the user was told.
+   */
+  private async stored(id: string): Promise<StatusAnswer | null> {
+    const entry = await findJob((key) => this.world.store.look(key), id);
+    if (!entry) return null;
+    this.remember(id, entry);
+    // While it waits, one that it needs may have been cancelled, and it must not be called queued for long then.
+    if (!entry.final && waits(entry) && (await standing(this.world.store, id)) !== 'active')
+      throw new Unavailable('what the job waits for is not known now');
+    const done = entry.final === 'done' ? (entry.tasks ?? 0) : 0;
+    return { status: entry.final ?? 'queued', done, running: 0 };
+  }
+
+  async submit(spec: JobSpec): Promise<SubmitAnswer> {
+    const known = this.routes.get(spec.id);
+    if (known?.final) return { kind: 'known', status: known.final };
+    const shard = known?.shard ?? this.shardOf(spec);
+    if (shard === null) throw new Unavailable('teams are not parted yet');
+    // An older version would not see that it waits: it would start it at once.
+    if (spec.after.length > 0 && !this.owners.allRead)
+      throw new Unavailable('not all controllers run a version that lets jobs wait for others');
+    const op = spec.after.length > 0 ? 'submitAfter' : 'submit';
+    let answer: SubmitAnswer;
+    try {
+      const deputy = this.deputy.mayAccept(spec);
+      answer = await this.owners
+        .ask<SubmitAnswer>(shard, op, { spec }, (s) => s.submit(spec), !deputy)
+        .catch((error) => {
+          if (!deputy || !(error instanceof OwnerAway)) throw error;
+          return this.acceptFor(shard, op, spec);
+        });
+    } catch (error) {
+      // What was accepted before is known without its owner; only a new job has to wait for it.
+      const stored = error instanceof Unavailable ? await this.stored(spec.id) : null;
+      if (!stored) throw error;
+      return { kind: 'known', status: stored.status };
+    }
+    if (answer.kind === 'accepted') this.remember(spec.id, { shard });
+    return answer;
+  }
+
+  /** Accepts a job whose owner is away; an owner that only this node cannot reach hears of it by letter. */
+  private async acceptFor(shard: number, op: string, spec: JobSpec): Promise<SubmitAnswer> {
+    for (const id of spec.after) {
+      const entry = await this.locate(id);
+      if (!entry) return { kind: 'never', needs: id };
+      // It has to be cancelled together with its acceptance.
+      if (entry.final === 'cancelled') throw new Unavailable('no owner at present');
+    }
+    const answer = await this.deputy.accept(shard, spec);
+    if (answer.kind === 'known' && answer.status === 'queued')
+      throw new Unavailable('known, but not how it stands');
+    const owner = this.members.owner(shard);
+    if (answer.kind === 'accepted' && owner && owner.node !== this.world.settings.node)
+      void this.owners.askByMail(shard, owner.run, op, { spec }).catch(() => undefined);
+    return answer;
+  }
+
+  async status(id: string): Promise<StatusAnswer | null> {
+    const entry = await this.locate(id);
+    if (!entry) return null;
+    if (entry.final) {
+      return { status: entry.final, done: entry.final === 'done' ? (entry.tasks ?? 0) : 0, running: 0 };
+    }
+    let answer: StatusAnswer | null;
+    try {
+      answer = await this.owners.ask(entry.shard, 'status', { id }, (s) => s.status(id));
+    } catch (error) {
+      const stored = error instanceof Unavailable ? await this.stored(id) : null;
+      if (!stored) throw error;
+      return stored;
+    }
+    if (!answer) {
+      // Over, and the owner has forgotten it: the state service knows.
+      this.routes.delete(id);
+      const again = await this.locate(id);
+      if (!again?.final) throw new Unavailable('between two owners');
+      return { status: again.final, done: again.final === 'done' ? (again.tasks ?? 0) : 0, running: 0 };
+    }
+    if (answer.status === 'done' || answer.status === 'cancelled') {
+      this.remember(id, { shard: entry.shard, final: answer.status, tasks: answer.done });
+    }
+    return answer;
+  }
+
+  async cancel(id: string): Promise<'done' | 'cancelled' | null> {
+    const entry = await this.locate(id);
+    if (!entry) return null;
+    if (entry.final) return entry.final;
+    const answer = await this.owners.ask(entry.shard, 'cancel', { id }, (s) => s.cancel(id));
+    if (answer === null) {
+      this.routes.delete(id);
+      const again = await this.locate(id);
+      if (!again?.final) throw new Unavailable('between two owners');
+      return again.final;
+    }
+    this.remember(id, { shard: entry.shard, final: answer, tasks: entry.tasks });
+    return answer;
+  }
+}
+
+function hash(text: string): number {
+  let h = 2166136261;
+  for (let i = 0; i < text.length; i++) h = Math.imul(h ^ text.charCodeAt(i), 16777619) >>> 0;
+  return h;
+}
--- a/src/shards/supply.ts
+++ b/src/supply/supply.ts
@@ -1,8 +1,10 @@
+// In this room: machines: renting and returning them, and which shard they go to.
 import { pause } from '../clock/clock.js';
 import { CloudFailure } from '../cloud/cloud.js';
 import type { Log } from '../config/log.js';
 import { mostMachines } from '../config/settings.js';
 import { NotOwner } from '../jobs/records.js';
+import { KEYS, type MachineRecord, readMachineRecord } from '../keys/keys.js';
 import { BOOKED_TASKS } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import { chooseRentals, type RentOption, type Shortage } from '../plan/rent.js';
@@ -10,10 +12,8 @@
 import { RELEASE_LIMIT, RENT_LIMIT } from '../wire/cloud.js';
 import type { Condition, Entry } from '../wire/state.js';
 import type { Fleet } from '../workers/fleet.js';
-import type { Machine } from '../workers/machine.js';
-import { SICK_ERRORS } from './blame.js';
-import { KEYS, type MachineRecord, readMachineRecord } from './keys.js';
-import type { World } from './world.js';
+import { type Machine, SICK_ERRORS } from '../workers/machine.js';
+import type { World } from '../world/world.js';
 
 /** An idle machine is kept for long where nearly all tasks must start sooner than it boots, for some time where many. */
 const KEEP_LONG_MS = 180_000;
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -1,3 +1,4 @@
+// In this room: the machines of a shard as they report, and the orders to them.
 import type { Clock } from '../clock/clock.js';
 import { DRIFT } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -74,3 +74,6 @@
     sum -= size;
   }
 }
+
+/** A machine with so many errors in a row is given back. */
+export const SICK_ERRORS = 3;
--- a/tests/blame.test.ts
+++ b/tests/blame.test.ts
@@ -2,9 +2,9 @@
 import { test } from 'node:test';
 import pino from 'pino';
 import { type Job, makeJob } from '../src/jobs/job.js';
-import { Blame, SICK_ERRORS } from '../src/shards/blame.js';
+import { Blame } from '../src/shard/blame.js';
 import { readJob } from '../src/wire/users.js';
-import type { Machine } from '../src/workers/machine.js';
+import { type Machine, SICK_ERRORS } from '../src/workers/machine.js';
 import { FakeCluster, job } from './support/cluster.js';
 
 function setting(jobs: string[], machines: string[]) {
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { makeJob, withinGuarantee } from '../src/jobs/job.js';
-import { Plan, type PlanJob, type PlanMachine } from '../src/plan/plan.js';
+import type { PlanJob, PlanMachine } from '../src/plan/model.js';
+import { Plan } from '../src/plan/plan.js';
 import { chooseVictims } from '../src/plan/preempt.js';
 import { chooseRental } from '../src/plan/rent.js';
-import { chooseCeding, matchSpares, partTeams, shardFor } from '../src/shards/leader.js';
+import { partTeams } from '../src/shards/leader.js';
+import { chooseCeding, matchSpares, shardFor } from '../src/supply/moves.js';
 import type { JobSpec } from '../src/wire/users.js';
 
 const size = { cpus: 8, gpus: 0, memoryGb: 32 };
--- /dev/null
+++ b/tests/rooms.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { test } from 'node:test';
+
+/** The rooms of `src`, the lowest first: each may use those before it. */
+const ROOMS = [
+  'clock',
+  'config',
+  'names',
+  'wire',
+  'http',
+  'peer',
+  'state',
+  'cloud',
+  'plan',
+  'world',
+  'keys',
+  'workers',
+  'jobs',
+  'supply',
+  'shard',
+  'shards',
+  'api',
+];
+const LINES_MOST = 600;
+
+// Guards against rooms growing into each other: one held half of all lines, and the records of jobs used what used them.
+test('rooms import only from those below them, and no file grows beyond what one reads at once', () => {
+  assert.deepEqual(
+    readdirSync('src', { withFileTypes: true })
+      .filter((e) => e.isDirectory())
+      .map((e) => e.name)
+      .sort(),
+    [...ROOMS].sort(),
+  );
+  let imports = 0;
+  for (const [level, room] of ROOMS.entries()) {
+    for (const file of readdirSync(join('src', room))) {
+      const text = readFileSync(join('src', room, file), 'utf8');
+      assert.ok(text.split('\n').length <= LINES_MOST, `${room}/${file} has too many lines`);
+      for (const [, from] of text.matchAll(/from '\.\.\/([a-z]+)\//g)) {
+        imports++;
+        assert.ok(
+          ROOMS.indexOf(from!) < level,
+          `${room}/${file} imports from ${from}, which is not below it`,
+        );
+      }
+    }
+  }
+  assert.ok(imports > 100);
+});
--- a/tests/size.test.ts
+++ b/tests/size.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Plan, type PlanJob, type PlanMachine } from '../src/plan/plan.js';
+import type { PlanJob, PlanMachine } from '../src/plan/model.js';
+import { Plan } from '../src/plan/plan.js';
 import { chooseRentals, type RentOption } from '../src/plan/rent.js';
 import { Limiter } from '../src/state/limiter.js';
 import { FakeClock } from './support/clock.js';
--- a/tests/versions.test.ts
+++ b/tests/versions.test.ts
@@ -4,7 +4,7 @@
 import { chunkTasks, TaskSet } from '../src/jobs/bits.js';
 import { makeJob } from '../src/jobs/job.js';
 import { JobRecords } from '../src/jobs/records.js';
-import { readHolder, readParting } from '../src/shards/keys.js';
+import { readHolder, readParting } from '../src/keys/keys.js';
 import { StateStore } from '../src/state/store.js';
 import { readJob } from '../src/wire/users.js';
 import { FakeClock } from './support/clock.js';
--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -2,11 +2,11 @@
 import { test } from 'node:test';
 import { makeJob } from '../src/jobs/job.js';
 import type { Plan } from '../src/plan/plan.js';
-import { Starts } from '../src/shards/starts.js';
-import type { World } from '../src/shards/world.js';
+import { Starts } from '../src/shard/starts.js';
 import { readJob } from '../src/wire/users.js';
 import type { Fleet } from '../src/workers/fleet.js';
 import type { Machine } from '../src/workers/machine.js';
+import type { World } from '../src/world/world.js';
 import { FakeCluster, job } from './support/cluster.js';
 
 const status = (body: unknown) => (body as { status: string }).status;
@@ -260,16 +260,7 @@
 // Guards against a stage that is left to the end of the queue although all of its pipeline is urgent.
 test('a job that is needed inherits priority and deadline, also of a later job in another shard', async () => {
   const c = await twoShards();
-  const jobOf = (id: string) => {
-    for (const r of c.nodes.values()) {
-      const shards = (r.node as unknown as { shards: Map<number, { jobs: Map<string, unknown> }> }).shards;
-      for (const s of shards.values()) {
-        const j = s.jobs.get(id);
-        if (j) return j as { priority: number; dueWall: number; deadlineWall: number };
-      }
-    }
-    return null;
-  };
+  const jobOf = (id: string) => [...c.nodes.values()].map((r) => r.node.job(id)).find((j) => j);
   assert.ok(await c.submit('n0', job('wk-2', { owner: 'red', urgency: 'low', expectedS: 100 })));
   assert.ok(await c.submit('n0', job('wk-3', { owner: 'red', urgency: 'low', waitsOn: ['wk-2'] })));
   await c.clock.advance(2000);
