--- /dev/null
+++ b/src/shard/aims.ts
@@ -0,0 +1,68 @@
+import type { Objective } from '../config/settings.js';
+import type { Job } from '../jobs/job.js';
+import type { JobSpec } from '../wire/users.js';
+
+/** From an order to a start some seconds pass: the report or push, and mostly a fetch. */
+const LEAD_S = 8;
+/** An aim that has to be met within so long is near. */
+const NEAR_S = 25;
+/** After so many times its widest aim a job goes by its acceptance alone, before all that came later. */
+const PUT_OFF_MOST = 4;
+
+/** What a waiting job's aims say of its place among work that is otherwise equal; lower goes first. */
+export const RANKS = { lastChance: 0, allInReach: 1, someLost: 2, allLost: 3 } as const;
+
+/**
+ * Where more urgent work waits than machines can start in time, the order of acceptance makes all of it late: each job
+ * waits behind those that have already missed what their class is for. So work goes by the aims that are still in reach,
+ * as the settings state them (`objectives`).
+ */
+export class Aims {
+  private readonly byClass = new Map<string, { starts: number[]; ends: number[] }>();
+
+  constructor(objectives: readonly Objective[]) {
+    for (const o of objectives) {
+      if (o.class === null || o.withinS === null || (o.kind !== 'wait' && o.kind !== 'finished')) continue;
+      let known = this.byClass.get(o.class);
+      if (!known) {
+        known = { starts: [], ends: [] };
+        this.byClass.set(o.class, known);
+      }
+      (o.kind === 'wait' ? known.starts : known.ends).push(o.withinS);
+    }
+  }
+
+  /** `ageS` counts from the acceptance, `runS` is how long a task is expected to run. */
+  rank(spec: Pick<JobSpec, 'class' | 'deadlineS'>, ageS: number, runS: number): number {
+    const aims = this.byClass.get(spec.class);
+    if (!aims || ageS > PUT_OFF_MOST * Math.max(...aims.starts, ...aims.ends)) return RANKS.allInReach;
+    let lost = 0;
+    let next = Number.POSITIVE_INFINITY;
+    const look = (latest: number) => {
+      const left = latest - LEAD_S - ageS;
+      if (left < 0) lost++;
+      else next = Math.min(next, left);
+    };
+    for (const s of aims.starts) look(s);
+    for (const e of aims.ends) look(e - runS);
+    // What its user was promised counts as an aim.
+    if (spec.deadlineS !== null) look(spec.deadlineS - runS);
+    if (lost === 0) return RANKS.allInReach;
+    if (next === Number.POSITIVE_INFINITY) return RANKS.allLost;
+    return next < NEAR_S ? RANKS.lastChance : RANKS.someLost;
+  }
+
+  /**
+   * The ranks of waiting jobs at a moment of the time of day. A gang starts as a whole, so that what it is for is lost or
+   * met at once. An array ends with its last task: to put off what is left of it loses more than it gains.
+   */
+  ranks(jobs: readonly Job[], wall: number, runS: (spec: JobSpec) => number): Map<Job, number> {
+    const ranks = new Map<Job, number>();
+    for (const job of jobs) {
+      const gang = job.spec.kind === 'gang';
+      const ageS = (wall - job.acceptedWall) / 1000;
+      ranks.set(job, gang ? this.rank(job.spec, ageS, runS(job.spec)) : RANKS.allInReach);
+    }
+    return ranks;
+  }
+}
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -6,6 +6,7 @@
 import type { Fleet } from '../workers/fleet.js';
 import type { Machine } from '../workers/machine.js';
 import type { World } from '../world/world.js';
+import { Aims } from './aims.js';
 import type { Demand } from './demand.js';
 import type { Estimates } from './estimates.js';
 import { book, type Outlook } from './outlook.js';
@@ -34,6 +35,7 @@
 
 /** The plan of one shard: what is weighed against it, booked in it and started by it. */
 export class Planner {
+  private readonly aims: Aims;
   private bookAnewAt = 0;
   /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
   private guaranteed: ReadonlySet<Job> = new Set();
@@ -55,7 +57,9 @@
     private readonly starts: Starts,
     private readonly preemption: Preemption,
     private readonly demand: Demand,
-  ) {}
+  ) {
+    this.aims = new Aims(world.settings.objectives);
+  }
 
   /** Whether something is booked on a machine. */
   hasBooked(machine: string): boolean {
@@ -90,8 +94,12 @@
     const jobs = [...this.table.jobs.values()]
       .filter((j) => j.waitsFor.size === 0)
       .sort((a, b) => a.order - b.order);
-    const { whole, partly } = withinGuarantee(jobs, this.world.settings.teams);
-    this.guaranteed = whole;
+    const { teams } = this.world.settings;
+    this.guaranteed = withinGuarantee(jobs, teams).whole;
+    const aims = this.aims.ranks(jobs, this.world.clock.wall(), (spec) => this.estimates.runS(spec));
+    const byAims = (a: Job, b: Job) => aims.get(a)! - aims.get(b)!;
+    // What a team is guaranteed goes to those of its jobs that can still use it.
+    const { partly } = withinGuarantee([...jobs].sort(byAims), teams);
     const rank = (job: Job) => (partly.has(job) ? 0 : 1);
     const low = new Map<Job, number>();
     const cpus = Math.max(1, this.cpus());
@@ -105,6 +113,7 @@
       (a, b) =>
         b.priority - a.priority ||
         rank(a) - rank(b) ||
+        byAims(a, b) ||
         (low.get(a) ?? 0) - (low.get(b) ?? 0) ||
         a.order - b.order,
     );
