Among equals little work goes before much that came shortly before

Cause: a job counts once for its users, whatever its size, and one array of 150 tasks keeps forty small jobs behind it waiting. Change: among work equal in priority, guarantee and aims a job stands back four times as long as the shard's places would need for it, at most 60 s; what was accepted for a deadline stays where it is.

--- a/src/shard/aims.ts
+++ b/src/shard/aims.ts
@@ -34,6 +34,9 @@
 
   /** `ageS` counts from the acceptance, `runS` is how long a task is expected to run. */
   rank(spec: Pick<JobSpec, 'class' | 'deadlineS'>, ageS: number, runS: number): number {
+    // What was accepted for a deadline of its user's is never put off for others.
+    if (spec.deadlineS !== null)
+      return spec.deadlineS - runS - LEAD_S - ageS < NEAR_S ? RANKS.lastChance : RANKS.allInReach;
     const aims = this.byClass.get(spec.class);
     if (!aims || ageS > PUT_OFF_MOST * Math.max(...aims.starts, ...aims.ends)) return RANKS.allInReach;
     let lost = 0;
@@ -45,8 +48,6 @@
     };
     for (const s of aims.starts) look(s);
     for (const e of aims.ends) look(e - runS);
-    // What its user was promised counts as an aim.
-    if (spec.deadlineS !== null) look(spec.deadlineS - runS);
     if (lost === 0) return RANKS.allInReach;
     if (next === Number.POSITIVE_INFINITY) return RANKS.allLost;
     return next < NEAR_S ? RANKS.lastChance : RANKS.someLost;
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -1,6 +1,7 @@
 import { type Job, withinGuarantee } from '../jobs/job.js';
 import type { PlanJob } from '../plan/model.js';
 import type { Plan } from '../plan/plan.js';
+import { type Amounts, fitCount } from '../plan/profile.js';
 import type { Supply } from '../supply/supply.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet } from '../workers/fleet.js';
@@ -28,6 +29,10 @@
 const LOOKS_MOST = 150_000;
 /** So many times as long as its work would take, the least urgent work stands back behind what is accepted later. */
 const LOW_WORK_FACTOR = 20;
+/** Other work stands back so many times as long as the shard would take for it, up to so many seconds. */
+const WORK_FACTOR = 4;
+const PUT_OFF_MOST_S = 60;
+const MOST_ON_ONE = 1000;
 /** New jobs are weighed against the same plan for so long, each booked on top of those before it. */
 const ADMIT_FRESH_MS = 1000;
 /** Work of high priority that would wait longer than this stops lesser work, but not twice within the pause. */
@@ -36,6 +41,8 @@
 /** The plan of one shard: what is weighed against it, booked in it and started by it. */
 export class Planner {
   private readonly aims: Aims;
+  /** Machines in use by their type. */
+  private readonly typeCounts = new Map<number, number>();
   private bookAnewAt = 0;
   /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
   private guaranteed: ReadonlySet<Job> = new Set();
@@ -101,30 +108,47 @@
     // What a team is guaranteed goes to those of its jobs that can still use it.
     const { partly } = withinGuarantee([...jobs].sort(byAims), teams);
     const rank = (job: Job) => (partly.has(job) ? 0 : 1);
-    const low = new Map<Job, number>();
     const cpus = Math.max(1, this.cpus());
+    const turns = new Map<Job, number>();
     for (const job of jobs) {
-      if (job.priority > PRIORITY.low) continue;
-      const workS =
-        ((job.spec.tasks - job.done.count) * job.need.cpus * this.estimates.runS(job.spec)) / cpus;
-      low.set(job, job.acceptedWall + workS * 1000 * LOW_WORK_FACTOR);
+      const left = job.spec.tasks - job.done.count;
+      const runS = this.estimates.runS(job.spec);
+      // What was accepted for a deadline stays before what is accepted later.
+      const bounded = job.spec.deadlineS === null ? PUT_OFF_MOST_S : 0;
+      const putOffS =
+        job.priority > PRIORITY.low
+          ? Math.min(bounded, ((left * runS) / this.placesFor(job.need)) * WORK_FACTOR)
+          : ((left * job.need.cpus * runS) / cpus) * LOW_WORK_FACTOR;
+      turns.set(job, job.acceptedWall + putOffS * 1000);
     }
     return jobs.sort(
       (a, b) =>
         b.priority - a.priority ||
         rank(a) - rank(b) ||
         byAims(a, b) ||
-        (low.get(a) ?? 0) - (low.get(b) ?? 0) ||
+        turns.get(a)! - turns.get(b)! ||
         a.order - b.order,
     );
   }
 
+  /** How many tasks of a kind the shard's machines hold at once. */
+  private placesFor(need: Amounts): number {
+    let places = 0;
+    for (const [type, count] of this.typeCounts) {
+      places += count * fitCount(this.world.catalog.size(type), need, MOST_ON_ONE);
+    }
+    return Math.max(1, places);
+  }
+
   /** What the shard's machines have that are in use. */
   private cpus(): number {
     const now = this.world.clock.now();
     let cpus = 0;
+    this.typeCounts.clear();
     for (const m of this.fleet.machines.values()) {
-      if (!m.leaving && !m.lost && m.closedUntil <= now) cpus += this.world.catalog.size(m.type).cpus;
+      if (m.leaving || m.lost || m.closedUntil > now) continue;
+      cpus += this.world.catalog.size(m.type).cpus;
+      this.typeCounts.set(m.type, (this.typeCounts.get(m.type) ?? 0) + 1);
     }
     return cpus;
   }
