Ordinary work near the last of its aims goes with urgent work, a little of it

Change: once half of the time for its last aim is left, an ordinary array goes with the urgent work, the oldest first, a tenth of the shard's processors or one job at a time; it is not stopped for urgent work then and stops nothing itself.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -38,6 +38,8 @@
   doomed: boolean;
   /** Priority and deadline, its own or those of the most urgent job that needs it. */
   priority: number;
+  /** Goes with more urgent work for now, since its last aim is near; it stops nothing. */
+  pressing: boolean;
   dueWall: number;
   version: number;
   state: 'active' | 'done' | 'cancelled';
@@ -103,6 +105,7 @@
     waitsFor: new Set(),
     doomed: false,
     priority: spec.priority,
+    pressing: false,
     dueWall: record.deadline,
     version: record.version,
     state: 'active',
--- a/src/shard/aims.ts
+++ b/src/shard/aims.ts
@@ -53,6 +53,19 @@
     return next < NEAR_S ? RANKS.lastChance : RANKS.someLost;
   }
 
+  /** The aim that a job can meet the longest: until when after its acceptance, and by when it has to start for it. */
+  last(spec: Pick<JobSpec, 'class'>, runS: number): { withinS: number; latestS: number } | null {
+    const aims = this.byClass.get(spec.class);
+    if (!aims) return null;
+    let last: { withinS: number; latestS: number } | null = null;
+    const look = (withinS: number, latestS: number) => {
+      if (!last || latestS > last.latestS) last = { withinS, latestS };
+    };
+    for (const s of aims.starts) look(s, s - LEAD_S);
+    for (const e of aims.ends) look(e, e - runS - LEAD_S);
+    return last;
+  }
+
   /**
    * The ranks of waiting jobs at a moment of the time of day. A gang starts as a whole, so that what it is for is lost or
    * met at once. An array ends with its last task: to put off what is left of it loses more than it gains.
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -12,6 +12,7 @@
 import type { Estimates } from './estimates.js';
 import { book, type Outlook } from './outlook.js';
 import type { Preemption } from './preemption.js';
+import { Pressing } from './pressing.js';
 import type { Starts } from './starts.js';
 import type { JobTable } from './table.js';
 import type { Waiting } from './waiting.js';
@@ -41,6 +42,7 @@
 /** The plan of one shard: what is weighed against it, booked in it and started by it. */
 export class Planner {
   private readonly aims: Aims;
+  private readonly pressing: Pressing;
   /** Machines in use by their type. */
   private readonly typeCounts = new Map<number, number>();
   private bookAnewAt = 0;
@@ -66,6 +68,12 @@
     private readonly demand: Demand,
   ) {
     this.aims = new Aims(world.settings.objectives);
+    this.pressing = new Pressing(world, table.jobs, this.aims, estimates);
+  }
+
+  /** Looks at what has become pressing; before priorities are passed on to what is needed. */
+  press(): void {
+    this.pressing.tick(this.cpus());
   }
 
   /** Whether something is booked on a machine. */
@@ -92,9 +100,10 @@
   }
 
   /**
-   * By priority; then what teams are guaranteed before what they borrow, so that one cannot starve another; then as
-   * accepted. Of the least urgent work, what is little goes before what is much and was accepted not long before: it runs
-   * in what others leave, and a swarm of tiny jobs would wait for hours of idle-time work.
+   * By priority; then what teams are guaranteed before what they borrow, so that one cannot starve another; then gangs by
+   * the aims they can still meet; then as accepted, what is little before what is much and was accepted not long before.
+   * The least urgent work runs in what others leave, and a swarm of tiny jobs would wait for hours of it, so there much
+   * stands back longer.
    */
   private inOrder(): Job[] {
     // What waits for other jobs takes no part in limits and guarantees.
@@ -246,7 +255,7 @@
       const job = byOrder.get(b.job.id);
       if (job && b.start > now / 1000 + PREEMPT_WAIT_S) waiting.add(job);
     }
-    for (const job of waiting) if (job.suspect) waiting.delete(job);
+    for (const job of waiting) if (job.suspect || job.pressing) waiting.delete(job);
     this.preemption.makeRoom(waiting, now);
     this.demand.assess(plan, unplaced, byOrder, now);
   }
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -403,6 +403,7 @@
   private tick(): void {
     this.guarded(() => {
       const now = this.world.clock.now();
+      this.planner.press();
       this.waiting.tick(now);
       this.questions.endDoomed();
       this.draining.drain(now);
--- a/src/shard/waiting.ts
+++ b/src/shard/waiting.ts
@@ -1,7 +1,7 @@
 import * as v from 'valibot';
 import type { Log } from '../config/log.js';
 import type { Job, JobEntry } from '../jobs/job.js';
-import type { JobSpec } from '../wire/users.js';
+import { type JobSpec, PRIORITY } from '../wire/users.js';
 import type { World } from '../world/world.js';
 
 /** Owners of jobs that are needed elsewhere are asked this often, all jobs of a shard with one question. */
@@ -273,6 +273,8 @@
    */
   private inherit(waiting: readonly Job[]): void {
     for (const job of this.inherited) {
+      // One that presses has been given its priority just now.
+      if (job.pressing) continue;
       job.priority = job.spec.priority;
       job.dueWall = job.deadlineWall;
     }
@@ -291,6 +293,8 @@
   private pass(to: Job | undefined, priority: number, dueWall: number): void {
     if (!to) return;
     to.priority = Math.max(to.priority, priority);
+    // As urgent by what needs it, it may stop lesser work again.
+    if (priority >= PRIORITY.high) to.pressing = false;
     to.dueWall = Math.min(to.dueWall, dueWall);
     this.inherited.add(to);
   }
--- a/tests/aims.test.ts
+++ b/tests/aims.test.ts
@@ -71,3 +71,33 @@
   assert.equal(await order(70_000, null), 'wk-2');
   assert.equal(await order(20_000, 2000), 'wk-2', 'it was accepted for a deadline');
 });
+
+// Guards against urgent work that comes without end: inspections on a small deployment never began, since gangs took every
+// place, and those that had begun were stopped for them.
+test('ordinary work whose last aim comes near goes with urgent work, is not stopped for it, and stops nothing', async () => {
+  const c = new FakeCluster(['n0']);
+  c.objectives = [{ kind: 'finished', class: 'checks', withinS: 200, share: 0.9 }];
+  c.teams = [];
+  const worker = c.addWorker('c8', 'a');
+  c.startNode('n0');
+  const urgent = (id: string) =>
+    job(id, { shape: 'ensemble', urgency: 'urgent', cpus: 8, expectedS: 60, saveEveryS: 0 });
+  const order = () => worker.started.map((t) => t.split('/')[0]);
+  assert.ok(await c.submit('n0', urgent('wk-1')));
+  assert.ok(await c.clock.until(() => worker.on('wk-1/0'), 20_000));
+  assert.ok(await c.submit('n0', job('wk-2', { jobClass: 'checks', cpus: 8, expectedS: 40 })));
+  assert.ok(await c.submit('n0', urgent('wk-3')));
+  await c.clock.advance(20_000);
+  worker.end('wk-1/0', 'done');
+  assert.ok(await c.clock.until(() => worker.on('wk-3/0'), 20_000), 'urgent work first while there is time');
+  assert.ok(await c.submit('n0', urgent('wk-4')));
+  await c.clock.advance(60_000);
+  assert.ok(worker.on('wk-3/0'), 'nothing is stopped for it');
+  worker.end('wk-3/0', 'done');
+  assert.ok(await c.clock.until(() => worker.on('wk-2/0'), 20_000));
+  assert.deepEqual(order(), ['wk-1', 'wk-3', 'wk-2']);
+  await c.clock.advance(30_000);
+  assert.ok(worker.on('wk-2/0'), 'and it is not stopped for what is urgent');
+  worker.end('wk-2/0', 'done');
+  assert.ok(await c.clock.until(() => worker.on('wk-4/0'), 20_000));
+});
