--- a/src/http/admission.ts
+++ b/src/http/admission.ts
@@ -67,7 +67,7 @@
   /** A place for a connection that has just come, or null when it has to go. */
   enter(address: string, vacate: () => void): Seat | null {
     const own = this.strangers.get(address);
-    if (own && own.size >= Math.max(2, this.places * STRANGERS_SHARE) && !this.dropOldest(own)) {
+    if (own && own.size >= this.strangersMost && !this.dropOldest(own)) {
       // All of them have come this moment and may have requests on their way. More are taken only where places are free.
       if (this.short) return this.refuse();
     }
@@ -89,6 +89,11 @@
     return seat;
   }
 
+  /** Strangers from one address beyond this are too many. */
+  private get strangersMost(): number {
+    return Math.max(2, this.places * STRANGERS_SHARE);
+  }
+
   private refuse(): null {
     this.counts.refused++;
     return null;
@@ -175,7 +180,7 @@
     if (heaviest && this.dropOldest(heaviest)) return true;
     if (this.dropIdle(this.settled.user) || this.dropHalf(this.settled.user)) return true;
     const own = this.strangers.get(forAddress)?.size ?? 0;
-    const flood = Math.max(2, this.places * STRANGERS_SHARE);
+    const flood = this.strangersMost;
     if (hoard && hoard.size >= flood && hoard.size > own) return this.drop(hoard.values().next().value!);
     if (own >= flood) return false;
     return this.dropIdle(this.settled.worker);
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -43,8 +43,6 @@
 export class Planner {
   private readonly aims: Aims;
   private readonly pressing: Pressing;
-  /** Machines in use by their type. */
-  private readonly typeCounts = new Map<number, number>();
   private bookAnewAt = 0;
   /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
   private guaranteed: ReadonlySet<Job> = new Set();
@@ -73,7 +71,7 @@
 
   /** Looks at what has become pressing; before priorities are passed on to what is needed. */
   press(): void {
-    this.pressing.tick(this.cpus());
+    this.pressing.tick(this.cpus(this.inUse()));
   }
 
   /** Whether something is booked on a machine. */
@@ -117,7 +115,8 @@
     // What a team is guaranteed goes to those of its jobs that can still use it.
     const { partly } = withinGuarantee([...jobs].sort(byAims), teams);
     const rank = (job: Job) => (partly.has(job) ? 0 : 1);
-    const cpus = Math.max(1, this.cpus());
+    const inUse = this.inUse();
+    const cpus = Math.max(1, this.cpus(inUse));
     const turns = new Map<Job, number>();
     for (const job of jobs) {
       const left = job.spec.tasks - job.done.count;
@@ -126,7 +125,7 @@
       const bounded = job.spec.deadlineS === null ? PUT_OFF_MOST_S : 0;
       const putOffS =
         job.priority > PRIORITY.low
-          ? Math.min(bounded, ((left * runS) / this.placesFor(job.need)) * WORK_FACTOR)
+          ? Math.min(bounded, ((left * runS) / this.placesFor(job.need, inUse)) * WORK_FACTOR)
           : ((left * job.need.cpus * runS) / cpus) * LOW_WORK_FACTOR;
       turns.set(job, job.acceptedWall + putOffS * 1000);
     }
@@ -141,24 +140,28 @@
   }
 
   /** How many tasks of a kind the shard's machines hold at once. */
-  private placesFor(need: Amounts): number {
+  private placesFor(need: Amounts, inUse: ReadonlyMap<number, number>): number {
     let places = 0;
-    for (const [type, count] of this.typeCounts) {
+    for (const [type, count] of inUse) {
       places += count * fitCount(this.world.catalog.size(type), need, MOST_ON_ONE);
     }
     return Math.max(1, places);
   }
 
-  /** What the shard's machines have that are in use. */
-  private cpus(): number {
+  /** How many machines of each type are in use. */
+  private inUse(): Map<number, number> {
     const now = this.world.clock.now();
-    let cpus = 0;
-    this.typeCounts.clear();
+    const counts = new Map<number, number>();
     for (const m of this.fleet.machines.values()) {
       if (m.leaving || m.lost || m.closedUntil > now) continue;
-      cpus += this.world.catalog.size(m.type).cpus;
-      this.typeCounts.set(m.type, (this.typeCounts.get(m.type) ?? 0) + 1);
+      counts.set(m.type, (counts.get(m.type) ?? 0) + 1);
     }
+    return counts;
+  }
+
+  private cpus(inUse: ReadonlyMap<number, number>): number {
+    let cpus = 0;
+    for (const [type, count] of inUse) cpus += count * this.world.catalog.size(type).cpus;
     return cpus;
   }
 
