--- a/src/wire/cloud.ts
+++ b/src/wire/cloud.ts
@@ -124,3 +124,69 @@
 } as const;
 export const RENT_LIMIT = 50;
 export const RELEASE_LIMIT = 100;
+
+// --- the cloud's side
+
+export function writeTypes(types: readonly MachineType[]): object {
+  return {
+    flavors: types.map((t) => ({
+      label: t.name,
+      cpus: t.cpus,
+      cards: t.gpus,
+      memoryGb: t.memoryGb,
+      localGb: t.cacheGb,
+      pullGbPerS: t.fetchGbPerS,
+      price: t.price,
+      lowPrice: t.spotPrice,
+      readyS: t.bootS,
+      yards: t.zones,
+    })),
+  };
+}
+
+const STATUS_WORDS = { booting: 'starting', running: 'running', failed: 'failed' } as const;
+
+export function writeList(machines: readonly ListedMachine[], more: boolean): object {
+  return {
+    workers: machines.map((m) => ({
+      id: m.id,
+      addr: m.addr,
+      flavor: m.type,
+      yard: m.zone,
+      loaner: m.spot,
+      status: STATUS_WORDS[m.state],
+      heldS: m.ageS,
+    })),
+    more,
+  };
+}
+
+const rentalBody = v.object({
+  booking: v.pipe(v.string(), v.minLength(1)),
+  flavor: v.string(),
+  yard: v.string(),
+  loaner: v.boolean(),
+  count: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(RENT_LIMIT)),
+});
+
+export interface Rental {
+  request: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export function readRental(body: unknown): Rental | null {
+  const p = v.safeParse(rentalBody, body);
+  if (!p.success) return null;
+  const { booking, flavor, yard, loaner, count } = p.output;
+  return { request: booking, type: flavor, zone: yard, spot: loaner, count };
+}
+
+const releaseBody = v.object({ workers: v.pipe(v.array(v.string()), v.maxLength(RELEASE_LIMIT)) });
+
+export function readRelease(body: unknown): string[] | null {
+  const p = v.safeParse(releaseBody, body);
+  return p.success ? p.output.workers : null;
+}
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -101,3 +101,68 @@
 export function writeLeaseRequest(ttlMs: number): object {
   return { ttlMs };
 }
+
+// --- the state service's side
+
+const txnRequest = v.object({
+  when: v.optional(v.array(v.object({ path: v.string(), stamp: v.number() })), []),
+  writes: v.optional(
+    v.array(
+      v.union([
+        v.object({ set: v.string(), value: v.unknown(), permit: v.optional(v.number()) }),
+        v.object({ drop: v.string() }),
+      ]),
+    ),
+    [],
+  ),
+});
+
+export function readTxnRequest(body: unknown): { when: Condition[]; writes: Write[] } | null {
+  const p = v.safeParse(txnRequest, body);
+  if (!p.success) return null;
+  return {
+    when: p.output.when.map((c) => ({ key: c.path, version: c.stamp })),
+    writes: p.output.writes.map((w): Write => {
+      if ('drop' in w) return { delete: w.drop };
+      return { put: w.set, value: w.value, ...(w.permit !== undefined && { lease: w.permit }) };
+    }),
+  };
+}
+
+export function writeEntry(e: Entry, lease: number | null): object {
+  return {
+    path: e.key,
+    value: e.value,
+    stamp: e.version,
+    ...(lease !== null && { permit: lease }),
+  };
+}
+
+export function writeEntries(entries: Entry[], more: boolean, revision: number): object {
+  return { entries: entries.map((e) => writeEntry(e, null)), more, ledgerRev: revision };
+}
+
+export function writeChange(c: Change): object {
+  return 'gone' in c ? { drop: c.key, stamp: c.version } : { set: c.key, value: c.value, stamp: c.version };
+}
+
+export function writeChanges(changes: Change[], revision: number): object {
+  return { ledgerRev: revision, events: changes.map(writeChange) };
+}
+
+export function writeTxnAnswer(revision: number, failed: string[] | null): object {
+  return { ...(failed && { failed }), ledgerRev: revision };
+}
+
+export function writeLease(lease: number): object {
+  return { permit: lease };
+}
+
+const leaseRequest = v.object({
+  ttlMs: v.pipe(v.number(), v.minValue(100), v.maxValue(600_000)),
+});
+
+export function readLeaseRequest(body: unknown): number | null {
+  const p = v.safeParse(leaseRequest, body);
+  return p.success ? p.output.ttlMs : null;
+}
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -120,3 +120,57 @@
 }
 
 export const USER_PATHS = { jobs: '/api/jobs', cancel: 'abort', health: '/healthz' } as const;
+
+// --- the users' side
+
+const KIND_WORDS = { array: 'sweep', gang: 'ensemble', service: 'standing' } as const;
+const PRIORITY_WORDS = ['low', 'standard', 'urgent', 'production'] as const;
+
+/** A submission, as a user sends it. */
+export function writeJob(s: JobSpec): object {
+  return {
+    id: s.id,
+    jobClass: s.class,
+    owner: s.team,
+    shape: KIND_WORDS[s.kind],
+    urgency: PRIORITY_WORDS[s.priority] ?? 'standard',
+    pieces: s.tasks,
+    cpus: s.cpus,
+    cards: s.gpus,
+    memoryGb: s.memoryGb,
+    bundle: s.image,
+    pullGb: s.imageGb,
+    flavors: s.types,
+    yard: s.zone,
+    oneZone: s.oneZone,
+    spread: s.spread,
+    loaner: s.spot,
+    expectedS: s.estimateS,
+    saveEveryS: s.checkpointS,
+    savingS: s.saveS,
+    dueS: s.deadlineS,
+    ...(s.after.length > 0 && { waitsOn: s.after }),
+  };
+}
+
+const statusBody = v.object({
+  id: v.string(),
+  status: v.picklist(['queued', 'running', 'done', 'aborted']),
+  done: v.optional(v.number(), 0),
+  running: v.optional(v.number(), 0),
+});
+
+export interface JobView {
+  id: string;
+  status: JobStatus;
+  done: number;
+  running: number;
+}
+
+/** How a job stands, as a user is told; null when it cannot be read. */
+export function readStatus(body: unknown): JobView | null {
+  const parsed = v.safeParse(statusBody, body);
+  if (!parsed.success) return null;
+  const { status } = parsed.output;
+  return { ...parsed.output, status: status === 'aborted' ? 'cancelled' : status };
+}
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -129,3 +129,77 @@
 }
 
 export const WORKER_PATHS = { report: '/v1/report', commands: '/do', show: '/show' } as const;
+
+// --- the worker's side
+
+const STATE_WORDS = inverse(STATES);
+const CAUSE_WORDS = inverse(CAUSES);
+const OPS = { run: 'start', kill: 'stop', clear: 'forget' } as const;
+
+function inverse<T extends string>(words: Record<string, T>): Record<T, string> {
+  return Object.fromEntries(Object.entries(words).map(([word, term]) => [term, word])) as Record<T, string>;
+}
+
+/** A report, as a worker sends it. */
+export function writeReport(r: Report): object {
+  return {
+    worker: r.machine,
+    addr: r.addr,
+    flavor: r.type,
+    yard: r.zone,
+    loaner: r.spot,
+    shift: r.session,
+    tally: r.seq,
+    baton: r.token,
+    recallS: r.noticeS,
+    pieces: r.tasks.map((t) => ({
+      piece: taskName(t.job, t.index),
+      try: t.attempt,
+      status: STATE_WORDS[t.state],
+      ...(t.cause !== null && { cause: CAUSE_WORDS[t.cause] }),
+      ...(t.saved && { kept: true }),
+    })),
+  };
+}
+
+const ordersBody = v.object({
+  baton: v.optional(count),
+  shift: v.optional(count),
+  orders: v.optional(
+    v.array(
+      v.object({
+        verb: v.picklist(['run', 'kill', 'clear']),
+        piece: v.pipe(v.string(), v.regex(/^\S+\/\d{1,6}$/)),
+        try: count,
+        windDownS: v.optional(v.number(), 0),
+      }),
+    ),
+    [],
+  ),
+});
+
+/** What a worker is told, in the answer to a report or straight; null when it cannot be read. */
+export function readOrders(
+  body: unknown,
+): { token: number | null; session: number | null; orders: Order[] } | null {
+  const parsed = v.safeParse(ordersBody, body);
+  if (!parsed.success) return null;
+  const { baton, shift, orders } = parsed.output;
+  return {
+    token: baton ?? null,
+    session: shift ?? null,
+    orders: orders.map((o): Order => {
+      const slash = o.piece.lastIndexOf('/');
+      const base = { job: o.piece.slice(0, slash), index: Number(o.piece.slice(slash + 1)), attempt: o.try };
+      const op = OPS[o.verb];
+      return op === 'stop' ? { op, ...base, graceS: o.windDownS } : { op, ...base };
+    }),
+  };
+}
+
+const redirectBody = v.object({ foreman: v.nullish(v.string()) });
+
+export function readRedirect(body: unknown): string | null {
+  const parsed = v.safeParse(redirectBody, body);
+  return parsed.success ? (parsed.output.foreman ?? null) : null;
+}
--- a/tests/blame.test.ts
+++ b/tests/blame.test.ts
@@ -71,10 +71,10 @@
   c.clock.after(10, function fail() {
     running = 0;
     for (const w of machines) {
-      for (const p of w.pieces) {
-        if (!p.piece.startsWith('wk-1/') || p.status !== 'running') continue;
+      for (const p of w.attempts) {
+        if (!p.task.startsWith('wk-1/') || p.state !== 'running') continue;
         running++;
-        w.end(p.piece, 'error');
+        w.end(p.task, 'error');
       }
     }
     most = Math.max(most, running);
@@ -92,12 +92,12 @@
     await c.clock.until(
       () =>
         machines.every(
-          (w) => w.on(`wk-2/${machines.indexOf(w)}`) || w.pieces.some((p) => p.piece.startsWith('wk-2/')),
+          (w) => w.on(`wk-2/${machines.indexOf(w)}`) || w.attempts.some((p) => p.task.startsWith('wk-2/')),
         ),
       4000,
     ),
   );
-  for (const w of machines) for (const p of w.pieces) if (p.piece.startsWith('wk-2/')) w.end(p.piece, 'done');
+  for (const w of machines) for (const p of w.attempts) if (p.task.startsWith('wk-2/')) w.end(p.task, 'done');
   await c.clock.advance(60_000);
   assert.ok(most <= 1, `${most} at once`);
   assert.ok(begun() > before && begun() - before <= 6, `${begun() - before} more starts`);
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -17,7 +17,7 @@
   assert.ok(await started(c, 'wk-1/0'));
   assert.equal(status((await c.call('n0', 'GET', '/api/jobs/wk-1')).body), 'running');
   w.end('wk-1/0', 'done');
-  assert.ok(await c.clock.until(() => w.pieces.length === 0, 5000), 'cleared once it is durable');
+  assert.ok(await c.clock.until(() => w.attempts.length === 0, 5000), 'cleared once it is durable');
   assert.deepEqual((c.state.value('job/wk-1') as { final: string }).final, 'done');
   for (const n of ['n0', 'n1']) {
     c.killNode(n);
@@ -74,7 +74,7 @@
   await c.clock.advance(4000);
   // The start goes out, but the network holds it, and the machine is cut off.
   c.net.fate = (_f, addr, _m, path, body) =>
-    addr === first.addr
+    addr === first.place.addr
       ? path === '/do' && JSON.stringify(body).includes('wk-1')
         ? 'hold'
         : 'silent'
@@ -104,7 +104,7 @@
   const w = c.addWorker('c8', 'a');
   c.startNode('n0');
   await c.clock.advance(6000);
-  assert.ok(w.baton > 0);
+  assert.ok(w.token > 0);
   c.silent.add(w);
   const quiet = w.lastSent;
   await c.clock.advance(15_000);
@@ -114,7 +114,7 @@
   await c.clock.advance(quiet + LEASE_S * 1000 + 1000 - c.clock.now());
   assert.ok(await c.submit('n0', job('wk-1', { cpus: 8 })));
   assert.ok(await started(c, 'wk-1/0', 2000), 'started in the next session');
-  assert.equal(w.shift, 2);
+  assert.equal(w.session, 2);
   const other = c.addWorker('c8', 'a');
   // Half a second after a lease from the last answered report, and before the end of the session's own.
   await c.clock.advance(quiet + (15 + LEASE_S + 2) * 1000 - c.clock.now());
@@ -201,7 +201,7 @@
   assert.ok(await c.clock.until(() => owner() === cut, 60_000), 'and home again after it');
   await c.clock.advance(5000);
   assert.ok(
-    machines.every((w) => w.shift === 1 && w.started.filter((p) => p.startsWith('wk-1')).length === 1),
+    machines.every((w) => w.session === 1 && w.started.filter((p) => p.startsWith('wk-1')).length === 1),
   );
   assert.ok(machines.some((w) => w.on('wk-2/0')) || fresh.on('wk-2/0'));
 });
@@ -214,7 +214,7 @@
   await c.clock.advance(8000);
   const before = [0, 1].map((k) => JSON.stringify(c.state.value(`c/own/${k}`)));
   for (const w of machines.slice(1)) c.silent.add(w);
-  c.net.fate = (_f, addr) => (machines.slice(1).some((w) => w.addr === addr) ? 'silent' : 'deliver');
+  c.net.fate = (_f, addr) => (machines.slice(1).some((w) => w.place.addr === addr) ? 'silent' : 'deliver');
   await c.clock.advance(30_000);
   assert.deepEqual(
     [0, 1].map((k) => JSON.stringify(c.state.value(`c/own/${k}`))),
@@ -285,18 +285,18 @@
   const work = { cpus: 8, expectedS: 15, saveEveryS: 0, urgency: 'urgent' };
   assert.ok(await c.submit('n0', job('wk-1', { ...work, owner: 'blue', pieces: 200 })));
   assert.ok(await c.submit('n0', job('wk-2', { ...work, pieces: 600 })));
-  const busy = () => c.workers.every((w) => w.pieces.some((p) => p.status === 'running'));
+  const busy = () => c.workers.every((w) => w.attempts.some((p) => p.state === 'running'));
   assert.ok(await c.clock.until(busy, 15_000));
   const before = reds().length;
   for (let i = 0; i < 12; i++) {
     await c.clock.advance(2000);
     for (const [n, w] of c.workers.entries())
-      for (const p of w.pieces) if (p.status === 'running' && n % 12 === i) w.end(p.piece, 'done');
+      for (const p of w.attempts) if (p.state === 'running' && n % 12 === i) w.end(p.task, 'done');
   }
   assert.ok(reds().length > before + 5, `${before} machines, then ${reds().length}`);
-  const causes = new Set(c.workers.flatMap((w) => w.pieces.map((p) => p.cause ?? 'done')));
+  const causes = new Set(c.workers.flatMap((w) => w.attempts.map((p) => p.cause ?? 'done')));
   assert.deepEqual([...causes], ['done']);
-  assert.ok(c.workers.every((w) => w.shift === 1));
+  assert.ok(c.workers.every((w) => w.session === 1));
 });
 
 // Guards against a controller that acts, when it wakes, on what it decided or read before it stood still.
@@ -306,7 +306,7 @@
   for (const n of ['n0', 'n1', 'n2']) c.startNode(n);
   await c.clock.advance(8000);
   assert.ok(await c.submit('n1', job('wk-1', { pieces: 2, cpus: 8 })));
-  assert.ok(await c.clock.until(() => machines.filter((w) => w.pieces.length > 0).length === 2, 10_000));
+  assert.ok(await c.clock.until(() => machines.filter((w) => w.attempts.length > 0).length === 2, 10_000));
   const shard = (c.state.value(`c/m/${machines[0]!.id}`) as { shard: number }).shard;
   const owner = () => (c.state.value(`c/own/${shard}`) as { node: string } | undefined)?.node;
   const old = owner()!;
@@ -338,7 +338,7 @@
   await c.clock.advance(20_000);
   assert.deepEqual(started(), before);
   assert.equal(owner(), old, 'its shard goes home, once');
-  assert.ok(machines.every((w) => w.shift === 1));
+  assert.ok(machines.every((w) => w.session === 1));
   assert.equal(status((await c.call(old, 'GET', '/api/jobs/wk-1')).body), 'aborted');
 });
 
@@ -355,8 +355,16 @@
   // The second machine holds the task as well, and no stop reaches it.
   const answer = second.answer.bind(second);
   second.answer = (body, sent) => answer({ ...(body as object), orders: [] }, sent);
-  c.net.fate = (_f, addr, _m, path) => (addr === second.addr && path === '/do' ? 'silent' : 'deliver');
-  second.pieces.push({ piece: 'wk-1/0', try: 1, status: 'running' });
+  c.net.fate = (_f, addr, _m, path) => (addr === second.place.addr && path === '/do' ? 'silent' : 'deliver');
+  second.attempts.push({
+    task: 'wk-1/0',
+    job: 'wk-1',
+    index: 0,
+    attempt: 1,
+    state: 'running',
+    cause: null,
+    saved: false,
+  });
   await c.clock.advance(3000);
   const third = c.addWorker('c8', 'a');
   await c.clock.advance(4000);
@@ -364,7 +372,7 @@
   await c.clock.advance(10_000);
   assert.ok(second.on('wk-1/0'));
   assert.deepEqual([first.started.length, third.started.length], [1, 0], 'not started beside it');
-  second.end('wk-1/0', 'halted');
+  second.end('wk-1/0', 'stopped');
   assert.ok(await c.clock.until(() => first.started.length + third.started.length === 2, 20_000));
 });
 
@@ -377,9 +385,9 @@
     path === '/do' && JSON.stringify(body).includes('wk-1') && c.net.held.length === 0 ? 'hold' : 'deliver';
   assert.ok(await c.submit('n0', job('wk-1')));
   assert.ok(await c.clock.until(() => c.net.held.length === 1, 3000));
-  const before = w.baton;
+  const before = w.token;
   assert.ok(await started(c, 'wk-1/0', 10_000));
-  assert.ok(w.baton > before, 'the start was repeated only under a newer token');
+  assert.ok(w.token > before, 'the start was repeated only under a newer token');
   await c.net.release();
   assert.equal(w.started.length, 1);
 });
@@ -432,14 +440,15 @@
   c.startNode('n0');
   await c.clock.advance(6000);
   assert.ok(await c.submit('n0', job('wk-1', { shape: 'ensemble', pieces: 2, cpus: 8, oneZone: true })));
-  assert.ok(await c.clock.until(() => a.pieces.length === 1 && b.pieces.length === 1, 15_000));
-  const attempt = a.pieces[0]!.try;
-  assert.equal(b.pieces[0]!.try, attempt);
-  a.end(a.pieces[0]!.piece, 'error');
+  assert.ok(await c.clock.until(() => a.attempts.length === 1 && b.attempts.length === 1, 15_000));
+  const attempt = a.attempts[0]!.attempt;
+  assert.equal(b.attempts[0]!.attempt, attempt);
+  a.end(a.attempts[0]!.task, 'error');
   assert.ok(
-    await c.clock.until(() => !b.pieces.some((p) => p.try === attempt && p.status !== 'ended'), 5000),
+    await c.clock.until(() => !b.attempts.some((p) => p.attempt === attempt && p.state !== 'exited'), 5000),
   );
-  const again = () => [a, b].every((w) => w.pieces.some((p) => p.try !== attempt && p.status === 'running'));
+  const again = () =>
+    [a, b].every((w) => w.attempts.some((p) => p.attempt !== attempt && p.state === 'running'));
   assert.ok(await c.clock.until(again, 30_000));
 });
 
@@ -448,11 +457,11 @@
   const machines = [1, 2, 3, 4].map(() => c.addWorker('c8', 'a'));
   c.startNode('n0');
   assert.ok(await c.submit('n0', job('wk-1', { pieces: 4, cpus: 8 })));
-  assert.ok(await c.clock.until(() => machines.every((w) => w.pieces.length === 1), 15_000));
+  assert.ok(await c.clock.until(() => machines.every((w) => w.attempts.length === 1), 15_000));
   // All 32 CPUs that the team may use are taken; then one machine is cut off and the controller restarts.
   const cut = machines[0]!;
   c.silent.add(cut);
-  c.net.fate = (_f, addr) => (addr === cut.addr ? 'silent' : 'deliver');
+  c.net.fate = (_f, addr) => (addr === cut.place.addr ? 'silent' : 'deliver');
   c.killNode('n0');
   const fresh = c.addWorker('c8', 'a');
   c.startNode('n0');
@@ -470,7 +479,7 @@
   await c.clock.advance(3000);
   assert.ok(c.rented.length > 0);
   assert.equal(
-    new Set(c.rented.map((r) => r.booking)).size,
+    new Set(c.rented.map((r) => r.request)).size,
     c.rented.length,
     'no request name is used twice',
   );
@@ -480,7 +489,7 @@
   const w = c.addWorker('c8', 'b');
   assert.ok(await started(c, 'wk-1/0', 30_000));
   assert.ok(c.workers.some((x) => x.on('wk-1/0')));
-  assert.ok(w.baton > 0);
+  assert.ok(w.token > 0);
 });
 
 test('a machine being returned is marked first, and its release is repeated after a lost answer', async () => {
@@ -507,11 +516,11 @@
   assert.ok(await started(c, 'wk-1/0'));
   const owner = c.nodes.get('n0')!;
   assert.equal(owner.node.members.owner(0)?.node, 'n0');
-  const term = c.state.items.get('c/own/0')!.stamp;
+  const term = c.state.items.get('c/own/0')!.version;
   // The state service does not answer n0 alone; its watches stay open and tell nothing, so its copy grows old.
   c.net.fate = (from, addr) => (from === 'n0' && addr.startsWith('10.2.0.1') ? 'silent' : 'deliver');
   assert.ok(
-    await c.clock.until(() => (c.state.items.get('c/own/0')?.stamp ?? term) > term, 20_000),
+    await c.clock.until(() => (c.state.items.get('c/own/0')?.version ?? term) > term, 20_000),
     'n1 adopts',
   );
   let watching = true;
@@ -546,7 +555,7 @@
   c.net.fate = () => 'deliver';
   await c.clock.advance(60_000);
   assert.equal(c.nodes.get('n1')!.node.members.owner(0)?.node, 'n0');
-  const bookings = c.rented.map((r) => r.booking);
+  const bookings = c.rented.map((r) => r.request);
   assert.ok(bookings.filter((b) => b.startsWith('n0')).length > 4);
   assert.equal(new Set(bookings).size, bookings.length);
 });
@@ -563,7 +572,7 @@
   assert.equal(status((await c.call('n1', 'GET', '/api/jobs/wk-1')).body), 'queued');
   assert.equal((await c.call('n1', 'POST', '/api/jobs', job('wk-1'))).status, 200);
   w.end('wk-1/0', 'done');
-  await c.clock.until(() => w.pieces.length === 0, 5000);
+  await c.clock.until(() => w.attempts.length === 0, 5000);
   assert.equal(status((await c.call('n1', 'GET', '/api/jobs/wk-1')).body), 'done');
 });
 
@@ -585,7 +594,7 @@
   await c.clock.advance(5000);
   assert.equal((await c.call('n0', 'GET', '/healthz')).status, 200);
   w.end('wk-1/1', 'done');
-  assert.ok(await c.clock.until(() => w.pieces.length === 0, 10_000), 'the next owner stores them');
+  assert.ok(await c.clock.until(() => w.attempts.length === 0, 10_000), 'the next owner stores them');
   assert.equal(status((await c.call('n0', 'GET', '/api/jobs/wk-1')).body), 'done');
 });
 
@@ -756,12 +765,13 @@
 test('a cloud that is down is asked one rental at a time, and rented from when it is back', async () => {
   const c = new FakeCluster(['n0']);
   c.capacity = true;
-  c.cloudDown = true;
   c.startNode('n0');
+  await c.clock.advance(3000);
+  c.cloud.down = true;
   assert.ok(await c.submit('n0', job('wk-1', { cpus: 8, pieces: 4 })));
   await c.clock.advance(30_000);
   assert.ok(c.rented.length >= 5 && c.rented.length <= 20, `${c.rented.length} requests`);
   const before = c.workers.length;
-  c.cloudDown = false;
+  c.cloud.down = false;
   assert.ok(await c.clock.until(() => c.workers.length > before, 10_000));
 });
--- a/tests/guests.test.ts
+++ b/tests/guests.test.ts
@@ -21,7 +21,7 @@
     assert.equal((await c.call('n2', 'POST', '/api/jobs', guest(`wk-${i}`, { cpus: 0.25 }))).status, 200);
   }
   assert.deepEqual([...shards].sort(), [teams.red, teams.blue].sort());
-  const on = () => c.workers.reduce((n, w) => n + w.pieces.length, 0);
+  const on = () => c.workers.reduce((n, w) => n + w.attempts.length, 0);
   assert.ok(await c.clock.until(() => on() === 12, 10_000));
 });
 
--- a/tests/load/half-open.ts
+++ b/tests/load/half-open.ts
@@ -10,8 +10,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { systemClock } from '../../src/clock/clock.js';
+import { StateService } from '../../src/emulator/state.js';
 import { HttpServer } from '../../src/http/server.js';
-import { FakeState } from '../support/state.js';
 
 const WORKERS = 400;
 const STRANGERS = 2000;
@@ -22,7 +22,7 @@
 
 const main = process.argv[2] ?? 'target/main.js';
 const seconds = Math.min(60, Number(process.argv[3] ?? 20));
-const state = new FakeState(systemClock);
+const state = new StateService(systemClock);
 
 const type = {
   label: 'c8',
--- a/tests/rooms.test.ts
+++ b/tests/rooms.test.ts
@@ -10,6 +10,7 @@
   'names',
   'wire',
   'http',
+  'emulator',
   'peer',
   'state',
   'cloud',
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -2,15 +2,18 @@
 import { Api } from '../../src/api/routes.js';
 import { Cloud } from '../../src/cloud/cloud.js';
 import type { Settings } from '../../src/config/settings.js';
+import { CloudService } from '../../src/emulator/cloud.js';
+import { StateService } from '../../src/emulator/state.js';
+import { Worker } from '../../src/emulator/worker.js';
 import type { HttpReply, HttpRequest } from '../../src/http/server.js';
 import type { Mesh } from '../../src/peer/mesh.js';
 import { ControllerNode } from '../../src/shards/node.js';
 import { StateStore } from '../../src/state/store.js';
+import { CLOUD_PATHS, type MachineType, type Rental, readRental } from '../../src/wire/cloud.js';
+import { readRedirect } from '../../src/wire/workers.js';
 import { Catalog, Names, type World } from '../../src/world/world.js';
 import { FakeClock } from './clock.js';
-import { FakeNet, type Served } from './net.js';
-import { FakeState } from './state.js';
-import { FakeWorker } from './worker.js';
+import { FakeNet } from './net.js';
 
 const STATE = '10.2.0.1:2379';
 const CLOUD = '10.2.0.2:8443';
@@ -51,23 +54,29 @@
 export class FakeCluster {
   readonly clock = new FakeClock();
   readonly net = new FakeNet(this.clock);
-  readonly state = new FakeState(this.clock);
+  readonly state = new StateService(this.clock);
+  readonly cloud = new CloudService(this.clock, {
+    types: () => [this.type('c8', 8, 0), this.type('g8', 8, 2)],
+    rent: (r) => this.rent(r),
+    release: (ids) => this.release(ids),
+    list: () =>
+      [...this.workers, ...this.ghosts].map(({ place }) => ({ ...place, state: 'running', ageS: 100 })),
+  });
   readonly nodes = new Map<string, Running>();
-  readonly workers: FakeWorker[] = [];
-  readonly rented: { booking: string; flavor: string; yard: string; loaner: boolean; count: number }[] = [];
+  readonly workers: Worker[] = [];
+  readonly rented: Rental[] = [];
   readonly released: string[] = [];
   /** Which node each worker reports to. */
-  private readonly reportsTo = new Map<FakeWorker, string>();
-  readonly silent = new Set<FakeWorker>();
+  private readonly reportsTo = new Map<Worker, string>();
+  readonly silent = new Set<Worker>();
   /** Nodes that no worker reaches, while all else does. */
   readonly cutFromWorkers = new Set<string>();
   capacity = false;
   stateRates = { rps: 600, writeRps: 300 };
-  cloudDown = false;
   /** What a GPU adds to the price of a machine. */
   cardPrice = 0;
   /** Machines that the list still shows although they are gone. */
-  readonly ghosts: FakeWorker[] = [];
+  readonly ghosts: Worker[] = [];
   teams: Settings['teams'] = [{ name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 }];
   stateLimits: Settings['stateLimits'] = { rps: 600, writeRps: 300, valueKb: 8, txnOps: 16 };
   /** Messages between controllers, by their names, that get lost. */
@@ -79,22 +88,20 @@
 
   constructor(private readonly names: string[]) {
     this.net.peers.set(STATE, (m, p, b) => this.state.serve(m, p, b));
-    this.net.peers.set(CLOUD, (m, p, b) => this.cloud(m, p, b));
+    this.net.peers.set(CLOUD, (m, p, b) => {
+      const rental = m === 'POST' && p === CLOUD_PATHS.machines ? readRental(b) : null;
+      if (rental) this.rented.push(rental);
+      return this.cloud.serve(m, p, b);
+    });
     this.reportLoop();
   }
 
-  addWorker(flavor: string, yard: string, loaner = false): FakeWorker {
+  addWorker(type: string, zone: string, spot = false): Worker {
     const n = ++this.made;
-    const worker = new FakeWorker(
-      this.clock,
-      `m-${String(n).padStart(6, '0')}`,
-      `10.1.${n >> 8}.${n & 255}:9000`,
-      flavor,
-      yard,
-      LEASE_S,
-      loaner,
-    );
-    this.net.peers.set(worker.addr, (m, p, b) => worker.serve(m, p, b));
+    const id = `m-${String(n).padStart(6, '0')}`;
+    const addr = `10.1.${n >> 8}.${n & 255}:9000`;
+    const worker = new Worker(this.clock, { id, addr, type, zone, spot }, LEASE_S);
+    this.net.peers.set(addr, (m, p, b) => worker.serve(m, p, b));
     this.workers.push(worker);
     return worker;
   }
@@ -221,7 +228,7 @@
     this.clock.after(1000, () => this.reportLoop());
   }
 
-  private reportOnce(w: FakeWorker): void {
+  private reportOnce(w: Worker): void {
     const at = this.reportsTo.get(w) ?? this.names[0]!;
     const next = this.names[(this.names.indexOf(at) + 1) % this.names.length]!;
     const running = this.nodes.get(at);
@@ -240,57 +247,41 @@
       })
       .then((reply) => {
         if (reply.status === 200) w.answer(JSON.parse(JSON.stringify(reply.body)), sent);
-        else this.reportsTo.set(w, (reply.body as { foreman?: string } | undefined)?.foreman ?? next);
+        else this.reportsTo.set(w, readRedirect(reply.body) ?? next);
       });
   }
 
-  private cloud(method: string, path: string, body: unknown): Served {
-    if (path === '/flavors') {
-      const flavor = (label: string, cpus: number, cards: number) => ({
-        label,
-        cpus,
-        cards,
-        memoryGb: cpus * 4,
-        localGb: 100,
-        pullGbPerS: 1,
-        price: cpus / 10 + cards * this.cardPrice,
-        lowPrice: cpus / 30 + (cards * this.cardPrice) / 3,
-        readyS: 30,
-        yards: ['a', 'b'],
-      });
-      return { status: 200, body: { flavors: [flavor('c8', 8, 0), flavor('g8', 8, 2)] } };
-    }
-    if (path === '/machines' && method === 'POST') {
-      const r = body as (typeof this.rented)[number];
-      this.rented.push(r);
-      if (this.cloudDown) return { status: 503, body: { error: 'trouble' } };
-      if (!this.capacity) return { status: 503, body: { error: 'no capacity' } };
-      const workers: string[] = [];
-      for (let i = 0; i < r.count; i++) {
-        const w = this.addWorker(r.flavor, r.yard, r.loaner);
-        this.silent.add(w);
-        workers.push(w.id);
-      }
-      return { status: 200, body: { workers } };
-    }
-    if (path === '/machines/release') {
-      for (const id of (body as { workers: string[] }).workers) {
-        this.released.push(id);
-        const w = this.workers.find((x) => x.id === id);
-        if (w) this.workers.splice(this.workers.indexOf(w), 1);
-      }
-      return { status: 200, body: {} };
+  private type(name: string, cpus: number, gpus: number): MachineType {
+    const price = cpus / 10 + gpus * this.cardPrice;
+    return {
+      name,
+      cpus,
+      gpus,
+      memoryGb: cpus * 4,
+      cacheGb: 100,
+      fetchGbPerS: 1,
+      price,
+      spotPrice: price / 3,
+      bootS: 30,
+      zones: ['a', 'b'],
+    };
+  }
+
+  private rent(r: Rental): string[] {
+    if (!this.capacity) return [];
+    return Array.from({ length: r.count }, () => {
+      const w = this.addWorker(r.type, r.zone, r.spot);
+      this.silent.add(w);
+      return w.id;
+    });
+  }
+
+  private release(ids: string[]): void {
+    for (const id of ids) {
+      this.released.push(id);
+      const w = this.workers.find((x) => x.id === id);
+      if (w) this.workers.splice(this.workers.indexOf(w), 1);
     }
-    const workers = [...this.workers, ...this.ghosts].map((w) => ({
-      id: w.id,
-      addr: w.addr,
-      flavor: w.flavor,
-      yard: w.yard,
-      loaner: w.loaner,
-      status: 'running',
-      heldS: 100,
-    }));
-    return { status: 200, body: { workers, more: false } };
   }
 }
 
--- a/tests/support/net.ts
+++ b/tests/support/net.ts
@@ -1,11 +1,7 @@
 import type { Clock } from '../../src/clock/clock.js';
+import type { Served } from '../../src/emulator/state.js';
 import { type HttpAnswer, HttpFailure, type Requester } from '../../src/http/client.js';
 
-export interface Served {
-  status: number;
-  body: unknown;
-}
-
 export type Peer = (method: string, path: string, body: unknown) => Served | Promise<Served>;
 
 /** What becomes of a request: `lost-answer` executes it, `hold` keeps it until the test lets it go. */
--- a/tests/versions.test.ts
+++ b/tests/versions.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as v from 'valibot';
+import { StateService } from '../src/emulator/state.js';
 import { chunkTasks, TaskSet } from '../src/jobs/bits.js';
 import { makeJob } from '../src/jobs/job.js';
 import { JobRecords } from '../src/jobs/records.js';
@@ -10,7 +11,6 @@
 import { FakeClock } from './support/clock.js';
 import { FakeCluster, job } from './support/cluster.js';
 import { FakeNet } from './support/net.js';
-import { FakeState } from './support/state.js';
 
 /** What the version before this one reads of a record; all else it leaves out, and what is not so it drops. */
 const formerSpec = v.object({
@@ -61,7 +61,7 @@
 async function records(allRead: { value: boolean }) {
   const clock = new FakeClock();
   const net = new FakeNet(clock);
-  const state = new FakeState(clock);
+  const state = new StateService(clock);
   net.peers.set('s', (m, p, b) => state.serve(m, p, b));
   const store = new StateStore(clock, net.requester('n0'), 's', { rps: 1e6, writeRps: 1e6, nodes: 1 });
   const settle = async <T>(work: Promise<T>): Promise<T> => {
@@ -81,7 +81,7 @@
   makeJob(s, { accepted: 1, deadline: 2, order: 1, fresh: false, version }, names);
 
 /** Done tasks as the version before this one reads them: by the limit in its settings. */
-function formerDone(state: FakeState, tasks: number, valueKb: number): TaskSet {
+function formerDone(state: StateService, tasks: number, valueKb: number): TaskSet {
   const done = new TaskSet(tasks);
   const per = chunkTasks(valueKb);
   for (const [key, item] of state.items) {
@@ -209,8 +209,8 @@
   c.killNode('n0');
   c.state.items.set('act/wk-2', {
     value: { ...stored, spec: { ...stored.spec, id: 'wk-2' } },
-    stamp: 1,
-    permit: null,
+    version: 1,
+    lease: null,
   });
   c.startNode('n0');
   assert.ok(await c.clock.until(() => c.workers[0]!.on('wk-2/1') || c.workers[0]!.on('wk-2/0'), 40_000));
@@ -258,11 +258,11 @@
   await c.clock.advance(8000);
   assert.ok(await c.submit('n0', job('wk-0', { pieces: 8, cpus: 2 })));
   const owner = c.nodes.get('n0')!.node.members.owner(0)!;
-  c.state.limits = { valueBytes: 2048, txnOps: 4, writesPerSecond: 7 };
+  c.state.limits = { ...c.state.limits, valueBytes: 2048, txnOps: 4, writesPerSecond: 7 };
   for (let i = 1; i <= 40; i++) assert.ok(await c.submit(`n${i % 2}`, job(`wk-${i}`, { cpus: 1 })));
   const before = c.state.refused[429];
   for (let i = 0; i < 60; i++) {
-    for (const w of c.workers) for (const p of w.pieces) w.end(p.piece, 'done');
+    for (const w of c.workers) for (const p of w.attempts) w.end(p.task, 'done');
     await c.clock.advance(1000);
   }
   for (let i = 0; i <= 40; i++)
