A whole cluster on one machine: spartray local, submit, status, wait, cancel, list

Controllers list unfinished jobs page by page, and nothing when an owner does not answer. The program loads either the controller or the commands.

--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -5,7 +5,15 @@
 import { Unavailable } from '../shard/answers.js';
 import type { ControllerNode } from '../shards/node.js';
 import { StateFailure } from '../state/store.js';
-import { isJobId, type JobSpec, readJob, USER_PATHS, writeAccepted, writeStatus } from '../wire/users.js';
+import {
+  isJobId,
+  type JobSpec,
+  readJob,
+  USER_PATHS,
+  writeAccepted,
+  writeJobList,
+  writeStatus,
+} from '../wire/users.js';
 import { readReport, WORKER_PATHS, writeRedirect } from '../wire/workers.js';
 import type { World } from '../world/world.js';
 
@@ -43,7 +51,10 @@
       return { ...health, from: 'health' };
     }
     if (r.path === WORKER_PATHS.report) return r.method === 'POST' ? this.report(r) : wrongMethod('POST');
-    if (r.path === USER_PATHS.jobs) return r.method === 'POST' ? this.submit(r) : wrongMethod('POST');
+    if (r.path === USER_PATHS.jobs) {
+      if (r.method === 'GET') return this.list(r);
+      return r.method === 'POST' ? this.submit(r) : wrongMethod('GET, POST');
+    }
     const job = JOB_PATH.exec(r.path);
     if (!job) return { status: 404, body: { error: 'no such path' } };
     const id = decode(job[1]!);
@@ -113,6 +124,11 @@
     return { status: 200, body: writeStatus(id, answer.status, answer.done, answer.running) };
   }
 
+  private async list(r: HttpRequest): Promise<HttpReply> {
+    const { jobs, more } = await this.node.list(r.query.get('under') ?? '', r.query.get('after') ?? '');
+    return { status: 200, body: writeJobList(jobs, more) };
+  }
+
   private async cancel(id: string): Promise<HttpReply> {
     const answer = isJobId(id) ? await this.node.cancel(id) : null;
     if (!answer) return { status: 404, body: { error: 'no such job' } };
--- /dev/null
+++ b/src/cli/cli.ts
@@ -0,0 +1,39 @@
+// In this room: the commands that people give: a cluster on one machine, jobs, load.
+import { readFileSync } from 'node:fs';
+import { Command, CommanderError } from 'commander';
+import { Rejected, Unreachable } from '../client/client.js';
+import { JobFileError } from '../client/jobfile.js';
+import { SettingsError } from '../config/settings.js';
+import { addJobCommands } from './jobs.js';
+import { addLocalCommands } from './local.js';
+import { EXIT, fail } from './output.js';
+
+const { version } = JSON.parse(readFileSync(new URL('../../package.json', import.meta.url), 'utf8')) as {
+  version: string;
+};
+
+const command = new Command('spartray')
+  .description('The spartray cluster scheduler: jobs, and a cluster on one machine.')
+  .version(version)
+  .exitOverride()
+  .addHelpText(
+    'after',
+    `
+A controller is started with: spartray --config <file>
+
+Exit codes: 0 success; 1 the job was cancelled, or a check failed; 2 wrong use, file or setting, or refused for good;
+3 an address cannot be listened on; 4 nobody answered in time.`,
+  );
+addLocalCommands(command);
+addJobCommands(command);
+
+try {
+  await command.parseAsync();
+} catch (error) {
+  if (error instanceof CommanderError) process.exit(error.exitCode === 0 ? EXIT.ok : EXIT.usage);
+  if (error instanceof SettingsError || error instanceof JobFileError) fail(EXIT.usage, error.message);
+  if (error instanceof Rejected) fail(EXIT.usage, `${error.status}: ${error.message}`);
+  if (error instanceof Unreachable) fail(EXIT.unreachable, error.message);
+  if ((error as NodeJS.ErrnoException).code === 'EADDRINUSE') fail(EXIT.bind, (error as Error).message);
+  throw error;
+}
--- a/src/clock/clock.ts
+++ b/src/clock/clock.ts
@@ -21,6 +21,22 @@
   },
 };
 
+/** Where the time of day of quick clocks begins to run away, so that all of one speed agree on it. */
+const QUICK_EPOCH = Date.UTC(2026, 0, 1);
+
+/**
+ * A clock on which everything takes a share of its time, for trials on one machine: all processes of a cluster have to
+ * run at the same speed.
+ */
+export function quickClock(speed: number): Clock {
+  if (speed === 1) return systemClock;
+  return {
+    now: () => performance.now() * speed,
+    wall: () => QUICK_EPOCH + (Date.now() - QUICK_EPOCH) * speed,
+    after: (ms, run) => systemClock.after(ms / speed, run),
+  };
+}
+
 /** Resolves after `ms`. */
 export function pause(clock: Clock, ms: number): Promise<void> {
   return new Promise((resolve) => {
--- /dev/null
+++ b/src/controller.ts
@@ -0,0 +1,152 @@
+import { randomUUID } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { Command, InvalidArgumentError, Option } from 'commander';
+import { Api, claimOf } from './api/routes.js';
+import { quickClock } from './clock/clock.js';
+import { Cloud } from './cloud/cloud.js';
+import { LEVELS, makeLog } from './config/log.js';
+import { loadSettings, partSockets, type Settings, SettingsError } from './config/settings.js';
+import { HttpClient } from './http/client.js';
+import { HttpServer } from './http/server.js';
+import { PeerMesh } from './peer/mesh.js';
+import { ControllerNode } from './shards/node.js';
+import { StateStore } from './state/store.js';
+import { Catalog, Names, type World } from './world/world.js';
+
+const EXIT_SETTINGS = 2;
+const EXIT_BIND = 3;
+/** A planned end waits no longer than this for the shards to be handed over. */
+const LEAVE_MS = 2000;
+/** Connections to one worker at once: most orders go one after the other. */
+const SOCKETS_PER_WORKER = 4;
+
+function version(): string {
+  const text = readFileSync(new URL('../package.json', import.meta.url), 'utf8');
+  return (JSON.parse(text) as { version: string }).version;
+}
+
+function fail(code: number, message: string): never {
+  process.stderr.write(`spartray: ${message}\n`);
+  process.exit(code);
+}
+
+interface Options {
+  config: string;
+  check?: boolean;
+  logLevel: string;
+  clockSpeed: number;
+  endWithStdin?: boolean;
+}
+
+async function run(settings: Settings, options: Options): Promise<void> {
+  const log = makeLog(options.logLevel, settings.node);
+  process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught'));
+  process.on('unhandledRejection', (error) => log.error({ error: String(error) }, 'unhandled'));
+  const clock = quickClock(options.clockSpeed);
+  const sockets = partSockets(settings.limits.maxSockets);
+  const services = new HttpClient(clock, {
+    maxSockets: sockets.services,
+    // A cloud that trickles must not keep a lease from renewal.
+    mostTo: (addr) => (addr === settings.cloud ? Math.ceil(sockets.services / 4) : sockets.services),
+    bodyBytes: 32 * 1024 * 1024,
+  });
+  const http = new HttpClient(clock, {
+    maxSockets: sockets.workers,
+    mostTo: () => SOCKETS_PER_WORKER,
+    bodyBytes: 1024 * 1024,
+  });
+  const names = new Names();
+  for (const t of settings.teams) names.teams.index(t.name);
+  for (const z of settings.zones) names.zones.index(z);
+  const world: World = {
+    clock,
+    settings,
+    log,
+    http,
+    store: new StateStore(clock, services, settings.state, {
+      ...settings.stateLimits,
+      nodes: settings.nodes,
+    }),
+    cloud: new Cloud(clock, services, settings.cloud, settings.cloudLimits.rps, settings.nodes),
+    names,
+    catalog: new Catalog(names),
+    goneMachines: new Map(),
+    run: `${settings.node}-${randomUUID().slice(0, 13)}`,
+  };
+  const node = new ControllerNode(world);
+  const api = new Api(world, node);
+  const onError = (error: unknown) =>
+    log.error({ error: error instanceof Error ? error.stack : String(error) }, 'error');
+  const mesh = new PeerMesh(clock, settings.node, settings.peers, onError, (why) =>
+    log.debug({ why }, 'connection to the peer address refused'),
+  );
+  const server = new HttpServer(clock, (request) => api.handle(request), {
+    maxConnections: sockets.incoming,
+    claims: claimOf,
+    bodyBytes: 64 * 1024,
+    requestMs: 10_000,
+    idleMs: 90_000,
+    onError,
+    onShort: (counts, open) => log.warn({ ...counts, open }, 'connections short'),
+  });
+  try {
+    await mesh.listen(settings.peerListen, (op, args) => node.serve(op, args));
+    await server.listen(settings.listen.host, settings.listen.port);
+  } catch (error) {
+    fail(EXIT_BIND, `cannot listen: ${error instanceof Error ? error.message : error}`);
+  }
+  log.info('listening');
+  let leaving = false;
+  const leave = (why: string) => {
+    if (leaving) return;
+    leaving = true;
+    log.info({ why }, 'leaving');
+    clock.after(LEAVE_MS, () => process.exit(0));
+    void node
+      .leave()
+      .catch((error) => log.info({ error: String(error) }, 'left without handing over'))
+      .finally(() => process.exit(0));
+  };
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => leave(signal));
+  if (options.endWithStdin) process.stdin.on('end', () => leave('standard input ended')).resume();
+  await node.start(mesh);
+}
+
+function speed(text: string): number {
+  const times = Number(text);
+  if (!(times >= 1 && times <= 100)) throw new InvalidArgumentError('from 1 to 100');
+  return times;
+}
+
+const command = new Command('spartray')
+  .description('A controller of the spartray cluster scheduler.')
+  .version(version())
+  .requiredOption('--config <file>', 'settings file that the platform hands over (TOML)')
+  .option('--check', 'check the settings and exit')
+  .addOption(
+    new Option('--log-level <level>', 'amount of logging').choices(LEVELS).env('LOG_LEVEL').default('info'),
+  )
+  .addOption(
+    new Option('--clock-speed <times>', 'run all clocks so many times as fast (trials on one machine)')
+      .argParser(speed)
+      .default(1),
+  )
+  .addOption(new Option('--end-with-stdin', 'end when the standard input does (trials on one machine)'))
+  .addHelpText('after', '\nCommands beside the controller: spartray help')
+  .action(async (options: Options) => {
+    let settings: Settings;
+    try {
+      settings = loadSettings(options.config);
+    } catch (error) {
+      if (error instanceof SettingsError) fail(EXIT_SETTINGS, `settings: ${error.message}`);
+      throw error;
+    }
+    if (options.check) {
+      process.stdout.write('settings are valid\n');
+      return;
+    }
+    await run(settings, options);
+  });
+
+command.exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : EXIT_SETTINGS));
+await command.parseAsync();
--- /dev/null
+++ b/src/emulator/reporter.ts
@@ -0,0 +1,90 @@
+import type { Clock, Timer } from '../clock/clock.js';
+import type { Requester } from '../http/client.js';
+import { readRedirect, WORKER_PATHS } from '../wire/workers.js';
+import type { Random } from './random.js';
+import type { Worker } from './worker.js';
+
+const CHANGE_GAP_MS = 500;
+const ANSWER_MS = 4000;
+const NEXT_MS = 1000;
+
+/** A worker's reports to the controllers: one at a time, to one node at a time. */
+export class Reporter {
+  /** No network: reports get no answer and commands do not arrive. */
+  cut = false;
+  private at = 0;
+  private sentAt = Number.NEGATIVE_INFINITY;
+  private timer: Timer | null = null;
+  private flying = false;
+  private changed = false;
+  private stopped = false;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly http: Requester,
+    private readonly random: Random,
+    private readonly worker: Worker,
+    private readonly nodes: readonly { node: string; addr: string }[],
+    private readonly reportS: number,
+  ) {
+    this.at = Math.floor(random.next() * nodes.length);
+    this.schedule(0);
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.timer?.cancel();
+  }
+
+  /** Something changed that is told soon. */
+  touch(): void {
+    this.changed = true;
+    if (!this.flying) this.schedule(Math.max(0, this.sentAt + CHANGE_GAP_MS - this.clock.now()));
+  }
+
+  private schedule(ms: number): void {
+    if (this.stopped) return;
+    this.timer?.cancel();
+    this.timer = this.clock.after(ms, () => void this.send());
+  }
+
+  private async send(): Promise<void> {
+    if (this.flying || this.stopped) return;
+    this.worker.checkLease();
+    this.flying = true;
+    this.changed = false;
+    this.sentAt = this.clock.now();
+    const { session } = this.worker;
+    const sent = this.sentAt;
+    let wait = this.reportS * 1000 * this.random.between(0.75, 1.25);
+    try {
+      if (this.cut) throw new Error('cut off');
+      const { addr } = this.nodes[this.at]!;
+      const reply = await this.http.request(
+        addr,
+        'POST',
+        WORKER_PATHS.report,
+        this.worker.report(),
+        ANSWER_MS,
+      );
+      if (this.cut) throw new Error('cut off');
+      if (reply.status === 200) this.worker.answer(reply.body, sent, session);
+      else wait = this.turn(reply.status === 421 ? readRedirect(reply.body) : null);
+    } catch {
+      wait = this.turn(null);
+    }
+    this.flying = false;
+    this.schedule(this.changed ? Math.min(wait, CHANGE_GAP_MS) : wait);
+  }
+
+  /** Goes to another node; returns when. */
+  private turn(to: string | null): number {
+    const named = this.nodes.findIndex((n) => n.node === to);
+    if (named >= 0 && named !== this.at) {
+      this.at = named;
+      return this.random.next() * 500;
+    }
+    this.at = (this.at + 1) % this.nodes.length;
+    return NEXT_MS;
+  }
+}
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -1,7 +1,7 @@
 // In this room: one shard as its owner has it: acceptance, starts, preemption, demand, estimates, blame.
 import { pause } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
-import { type Job, openCount } from '../jobs/job.js';
+import { type Job, jobStatus, openCount } from '../jobs/job.js';
 import { JobRecords, NotOwner } from '../jobs/records.js';
 import { KEYS, type MachineRecord, readMachineRecord } from '../keys/keys.js';
 import type { Amounts } from '../plan/profile.js';
@@ -9,7 +9,7 @@
 import type { Gossip, Need } from '../supply/gossip.js';
 import { Supply } from '../supply/supply.js';
 import type { Entry } from '../wire/state.js';
-import type { JobSpec } from '../wire/users.js';
+import type { JobSpec, ListedJob } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
 import { Fleet } from '../workers/fleet.js';
 import type { Machine } from '../workers/machine.js';
@@ -369,6 +369,22 @@
     return this.questions.cancel(id);
   }
 
+  /** The first unfinished jobs after an id that begin with `under`, in the order of ids. */
+  list(under: string, after: string, most: number): ListedJob[] {
+    this.questions.check();
+    return [...this.table.jobs.values()]
+      .filter(({ spec: { id } }) => id > after && id.startsWith(under))
+      .sort((a, b) => (a.spec.id < b.spec.id ? -1 : 1))
+      .slice(0, most)
+      .map((job) => ({
+        id: job.spec.id,
+        ...jobStatus(job),
+        team: job.spec.team,
+        class: job.spec.class,
+        tasks: job.spec.tasks,
+      }));
+  }
+
   /** Another shard needs jobs of this one. */
   neededBy(shard: number, claims: readonly Claim[]): Standing[] {
     this.questions.check();
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -7,7 +7,7 @@
 import { readClaims } from '../shard/waiting.js';
 import { readGossip, readNeed } from '../supply/gossip.js';
 import type { Entry } from '../wire/state.js';
-import type { JobSpec } from '../wire/users.js';
+import type { JobSpec, ListedJob } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
 import type { World } from '../world/world.js';
 import { CloudWatch } from './cloudwatch.js';
@@ -163,6 +163,8 @@
         return this.owners.local(a.shard).status(String(a.id));
       case 'cancel':
         return this.owners.local(a.shard).cancel(String(a.id));
+      case 'list':
+        return this.owners.local(a.shard).list(String(a.under), String(a.after), Number(a.most));
       default:
         throw new Error(`unknown request ${op}`);
     }
@@ -196,6 +198,11 @@
     return this.routing.cancel(id);
   }
 
+  /** Unfinished jobs of all shards, a page of them. */
+  list(under: string, after: string): Promise<{ jobs: ListedJob[]; more: boolean }> {
+    return this.routing.list(under, after);
+  }
+
   // --- workers
 
   report(r: Report): ReportAnswer {
--- a/src/shards/routing.ts
+++ b/src/shards/routing.ts
@@ -5,13 +5,15 @@
 import { OwnerAway, type StatusAnswer, type SubmitAnswer, Unavailable } from '../shard/answers.js';
 import type { Shard } from '../shard/shard.js';
 import { StateFailure } from '../state/store.js';
-import type { JobSpec } from '../wire/users.js';
+import type { JobSpec, ListedJob } from '../wire/users.js';
 import type { World } from '../world/world.js';
 import { Deputy } from './deputy.js';
 import type { Members } from './members.js';
 import type { Owners } from './owners.js';
 
 const ROUTES_KEPT = 20_000;
+/** Jobs on one page of a list: a request must not cost an owner much. */
+const LISTED = 200;
 
 /** Where users' questions go, and what is answered without the owner of the job. */
 export class Routing {
@@ -166,6 +168,25 @@
     return answer;
   }
 
+  /**
+   * Unfinished jobs whose ids begin with `under`, in the order of ids after one; all shards are asked, and when one of
+   * them does not answer, nothing is told.
+   */
+  async list(under: string, after: string): Promise<{ jobs: ListedJob[]; more: boolean }> {
+    const shards = Array.from({ length: this.world.settings.nodes }, (_, i) => i);
+    const args = { under, after, most: LISTED };
+    const parts = await Promise.all(
+      shards.map((shard) =>
+        this.owners.ask<ListedJob[]>(shard, 'list', args, async (s) => s.list(under, after, LISTED)),
+      ),
+    );
+    const jobs = parts.flat().sort((a, b) => (a.id < b.id ? -1 : 1));
+    return {
+      jobs: jobs.slice(0, LISTED),
+      more: jobs.length > LISTED || parts.some((p) => p.length === LISTED),
+    };
+  }
+
   async cancel(id: string): Promise<'done' | 'cancelled' | null> {
     const entry = await this.locate(id);
     if (!entry) return null;
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -174,3 +174,42 @@
   const { status } = parsed.output;
   return { ...parsed.output, status: status === 'aborted' ? 'cancelled' : status };
 }
+
+/** One unfinished job of a list. */
+export interface ListedJob extends JobView {
+  team: string;
+  class: string;
+  tasks: number;
+}
+
+const listBody = v.object({
+  jobs: v.array(
+    v.object({ ...statusBody.entries, owner: v.string(), jobClass: v.string(), pieces: v.number() }),
+  ),
+  more: v.boolean(),
+});
+
+export function readJobList(body: unknown): { jobs: ListedJob[]; more: boolean } | null {
+  const parsed = v.safeParse(listBody, body);
+  if (!parsed.success) return null;
+  const jobs = parsed.output.jobs.map(({ owner, jobClass, pieces, ...view }) => ({
+    ...view,
+    status: view.status === 'aborted' ? ('cancelled' as const) : view.status,
+    team: owner,
+    class: jobClass,
+    tasks: pieces,
+  }));
+  return { jobs, more: parsed.output.more };
+}
+
+export function writeJobList(jobs: readonly ListedJob[], more: boolean): object {
+  return {
+    jobs: jobs.map(({ team, class: jobClass, tasks, ...view }) => ({
+      ...writeStatus(view.id, view.status, view.done, view.running),
+      owner: team,
+      jobClass,
+      pieces: tasks,
+    })),
+    more,
+  };
+}
--- a/tests/cluster.test.ts
+++ b/tests/cluster.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { readJobList } from '../src/wire/users.js';
 import { FakeCluster, job, LEASE_S } from './support/cluster.js';
 
 const status = (body: unknown) => (body as { status: string }).status;
@@ -775,3 +776,34 @@
   c.cloud.down = false;
   assert.ok(await c.clock.until(() => c.workers.length > before, 10_000));
 });
+
+test('unfinished jobs of all shards are listed by any node, page by page, and none when an owner is away', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  c.teams = [
+    { name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 },
+    { name: 'blue', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 },
+  ];
+  c.addWorker('c8', 'a');
+  for (const n of ['n0', 'n1']) c.startNode(n);
+  for (let i = 0; i < 230; i++) {
+    const owner = i % 2 ? 'red' : 'blue';
+    const id = `wk-${i < 210 ? 'a' : 'b'}-${String(i).padStart(3, '0')}`;
+    assert.ok(await c.submit('n0', job(id, { owner })));
+  }
+  const list = async (query: string) => {
+    const request = { ...c.request('GET', '/api/jobs'), query: new URLSearchParams(query) };
+    const reply = await c.answered(c.nodes.get('n1')!.api.handle(request));
+    return reply.status === 200 ? readJobList(JSON.parse(JSON.stringify(reply.body))) : null;
+  };
+  const first = await list('under=wk-a-');
+  assert.deepEqual([first?.jobs.length, first?.more, first?.jobs[0]?.id], [200, true, 'wk-a-000']);
+  const second = await list(`under=wk-a-&after=${first!.jobs.at(-1)!.id}`);
+  assert.deepEqual([second?.jobs.length, second?.more], [10, false]);
+  assert.deepEqual(new Set(second!.jobs.map((j) => j.team)), new Set(['red', 'blue']));
+  c.killNode('n0');
+  assert.equal(
+    await list('under=wk-a-'),
+    null,
+    'a list that leaves out a shard would look like jobs that are over',
+  );
+});
--- a/tests/rooms.test.ts
+++ b/tests/rooms.test.ts
@@ -10,6 +10,7 @@
   'names',
   'wire',
   'http',
+  'client',
   'emulator',
   'peer',
   'state',
@@ -23,6 +24,7 @@
   'shard',
   'shards',
   'api',
+  'cli',
 ];
 const LINES_MOST = 600;
 
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -187,8 +187,13 @@
 
   async call(node: string, method: string, path: string, body: object | null = null): Promise<HttpReply> {
     const running = this.nodes.get(node)!;
+    return this.answered(running.api.handle(this.request(method, path, body)));
+  }
+
+  /** Lets time pass until a request is answered. */
+  async answered(answer: Promise<HttpReply>): Promise<HttpReply> {
     let reply: HttpReply | null = null;
-    void running.api.handle(this.request(method, path, body)).then((r) => {
+    void answer.then((r) => {
       reply = r;
     });
     await this.clock.until(() => reply !== null, 6000);
