--- /dev/null
+++ b/src/classad/ast.ts
@@ -0,0 +1,150 @@
+// In this room: ClassAd expressions: reading, printing, evaluating. Pure, and bounded whatever is read.
+
+/** What an expression may cost: a hostile one ends in an error, never in a stall. */
+export const LIMITS = {
+  /** Characters of one expression, and of one string that it makes. */
+  text: 64 * 1024,
+  /** Brackets, operators and calls within each other. */
+  depth: 100,
+  /** Nodes and list items looked at in one evaluation. */
+  steps: 100_000,
+  list: 10_000,
+} as const;
+
+/** No value: an attribute that is not there. */
+export class Undefined {
+  readonly kind = 'undefined';
+}
+export const UNDEFINED = new Undefined();
+
+/** What has no meaning; `why` is for people and takes no part in comparisons. */
+export class ErrorValue {
+  readonly kind = 'error';
+  constructor(readonly why: string) {}
+}
+
+/** Integers are 64 bits wide (`bigint`), reals are numbers. */
+export type Value = Undefined | ErrorValue | boolean | bigint | number | string | Value[] | Ad;
+
+export type Literal = Undefined | ErrorValue | boolean | bigint | number | string;
+
+export type Scope = 'my' | 'target' | null;
+
+export type UnaryOp = '-' | '+' | '!' | '~';
+export type BinaryOp = keyof typeof PRECEDENCE;
+
+export type Expr =
+  | { node: 'literal'; value: Literal }
+  /** An attribute by its name, as it was written. */
+  | { node: 'name'; scope: Scope; name: string }
+  | { node: 'select'; of: Expr; name: string }
+  | { node: 'index'; of: Expr; at: Expr }
+  | { node: 'unary'; op: UnaryOp; of: Expr }
+  | { node: 'binary'; op: BinaryOp; left: Expr; right: Expr }
+  /** `yes` is null in `a ?: b`, which is `a` unless that is undefined. */
+  | { node: 'if'; test: Expr; yes: Expr | null; no: Expr }
+  | { node: 'list'; items: Expr[] }
+  | { node: 'ad'; ad: Ad }
+  | { node: 'call'; name: string; args: Expr[] };
+
+/** How tightly operators bind; all of them to the left. */
+export const PRECEDENCE = {
+  '||': 1,
+  '&&': 2,
+  '|': 3,
+  '^': 4,
+  '&': 5,
+  '==': 6,
+  '!=': 6,
+  '=?=': 6,
+  '=!=': 6,
+  '<': 7,
+  '<=': 7,
+  '>': 7,
+  '>=': 7,
+  '<<': 8,
+  '>>': 8,
+  '>>>': 8,
+  '+': 9,
+  '-': 9,
+  '*': 10,
+  '/': 10,
+  '%': 10,
+} as const;
+
+/** Attributes by name, whatever the case; names keep the case in which they were first written. */
+export class Ad {
+  private readonly attributes = new Map<string, { name: string; expr: Expr }>();
+  /** The ad that this one is written in. */
+  parent: Ad | null = null;
+
+  get size(): number {
+    return this.attributes.size;
+  }
+
+  set(name: string, expr: Expr): this {
+    const key = name.toLowerCase();
+    this.attributes.set(key, { name: this.attributes.get(key)?.name ?? name, expr });
+    for (const nested of adsIn(expr)) nested.parent = this;
+    return this;
+  }
+
+  setValue(name: string, value: Literal): this {
+    return this.set(name, { node: 'literal', value });
+  }
+
+  get(name: string): Expr | undefined {
+    return this.attributes.get(name.toLowerCase())?.expr;
+  }
+
+  has(name: string): boolean {
+    return this.attributes.has(name.toLowerCase());
+  }
+
+  delete(name: string): void {
+    this.attributes.delete(name.toLowerCase());
+  }
+
+  *[Symbol.iterator](): Iterator<[string, Expr]> {
+    for (const { name, expr } of this.attributes.values()) yield [name, expr];
+  }
+
+  copy(): Ad {
+    const ad = new Ad();
+    for (const [name, expr] of this) ad.attributes.set(name.toLowerCase(), { name, expr });
+    ad.parent = this.parent;
+    return ad;
+  }
+}
+
+function adsIn(expr: Expr): Ad[] {
+  if (expr.node === 'ad') return [expr.ad];
+  return childrenOf(expr).flatMap(adsIn);
+}
+
+/** The expressions that one is made of, nested ads apart. */
+export function childrenOf(e: Expr): Expr[] {
+  switch (e.node) {
+    case 'literal':
+    case 'name':
+    case 'ad':
+      return [];
+    case 'select':
+    case 'unary':
+      return [e.of];
+    case 'index':
+      return [e.of, e.at];
+    case 'binary':
+      return [e.left, e.right];
+    case 'if':
+      return e.yes ? [e.test, e.yes, e.no] : [e.test, e.no];
+    case 'list':
+      return e.items;
+    case 'call':
+      return e.args;
+  }
+}
+
+export function isLiteral(value: Value): value is Literal {
+  return !Array.isArray(value) && !(value instanceof Ad);
+}
--- a/tests/rooms.test.ts
+++ b/tests/rooms.test.ts
@@ -9,6 +9,7 @@
   'config',
   'names',
   'wire',
+  'classad',
   'http',
   'client',
   'emulator',
