What a job asks of machines beyond type and zone is asked by plan, starts, rentals and moves

Need: match expressions on the same core. A job may carry requirements and a rank (level 3, said only by nodes that serve them); the plan asks a predicate by kind of machine and, where the expression names one, by machine; rank decides only between equally loaded machines. Nodes that do not serve them never start such a job.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -71,6 +71,7 @@
     names,
     catalog: new Catalog(names),
     goneMachines: new Map(),
+    matcher: null,
     run: `${settings.node}-${randomUUID().slice(0, 13)}`,
   };
   const node = new ControllerNode(world);
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -1,4 +1,5 @@
 // In this room: jobs, their tasks and their records, as their owner and the state service have them.
+import type { Match } from '../plan/model.js';
 import type { Amounts } from '../plan/profile.js';
 import type { JobSpec, JobStatus } from '../wire/users.js';
 import type { Held } from '../workers/machine.js';
@@ -14,6 +15,7 @@
   types: Set<number> | null;
   zone: number | null;
   image: number;
+  match: Match | null;
   acceptedWall: number;
   deadlineWall: number;
   /** Accepted under the present ownership, so that no task of it can be anywhere unseen. */
@@ -71,6 +73,13 @@
   partsUnder?: string;
 }
 
+/** Whether a kind of machine may take tasks of a job. */
+export function kindAllowed(job: Job, type: number, zone: number, spot: boolean): boolean {
+  if ((job.types && !job.types.has(type)) || (spot && !job.spec.spot)) return false;
+  if (job.zone !== null && job.zone !== zone) return false;
+  return !job.match || job.match.kind(type, zone, spot);
+}
+
 export function jobStatus(job: Job): { status: JobStatus; done: number; running: number } {
   let running = 0;
   for (const h of job.places.values()) if (h.state === 'running' || h.state === 'saving') running++;
@@ -81,7 +90,7 @@
 export function makeJob(
   spec: JobSpec,
   record: { accepted: number; deadline: number; order: number; fresh: boolean; version: number },
-  names: { team: number; types: Set<number> | null; zone: number | null; image: number },
+  names: { team: number; types: Set<number> | null; zone: number | null; image: number; match: Match | null },
 ): Job {
   return {
     spec,
@@ -91,6 +100,7 @@
     types: names.types,
     zone: names.zone,
     image: names.image,
+    match: names.match,
     acceptedWall: record.accepted,
     deadlineWall: record.deadline,
     fresh: record.fresh,
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -28,6 +28,7 @@
   saveS: v.number(),
   deadlineS: v.nullable(v.number()),
   after: v.optional(v.array(v.string()), []),
+  match: v.optional(v.object({ requirements: v.string(), rank: v.nullable(v.string()) })),
 });
 const activeValue = v.object({
   shard: v.number(),
--- a/src/keys/keys.ts
+++ b/src/keys/keys.ts
@@ -35,6 +35,8 @@
  * or sent before every node understands it: an older one would drop what it cannot read.
  */
 export const LEVEL = 2;
+/** Jobs with match expressions as well; said only by nodes that serve them, which is up to their operators. */
+export const MATCH_LEVEL = 3;
 
 const holder = v.object({
   node: v.string(),
--- a/src/plan/model.ts
+++ b/src/plan/model.ts
@@ -1,7 +1,19 @@
 import type { Amounts } from './profile.js';
 
+/** What a job asks of a machine beyond its size, type and zone; most jobs ask nothing. */
+export interface Match {
+  /** Whether a kind of machine may take the job at all. */
+  kind(type: number, zone: number, spot: boolean): boolean;
+  /** Whether this very machine may, of a kind that may; null when only the kind counts. */
+  machine: ((m: PlanMachine) => boolean) | null;
+  /** How much a machine is liked, where nothing else decides; null for no preference. */
+  rank: ((m: PlanMachine) => number) | null;
+}
+
 /** A machine as the plan sees it. All names are dense indices. */
 export interface PlanMachine {
+  /** Its name; null while it has none. */
+  id: string | null;
   type: number;
   zone: number;
   spot: boolean;
@@ -31,6 +43,7 @@
   /** Allowed machine types, null for any. */
   types: ReadonlySet<number> | null;
   zone: number | null;
+  match: Match | null;
   oneZone: boolean;
   spread: boolean;
   spot: boolean;
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -280,7 +280,8 @@
       (a, b) =>
         this.waste(job, a) - this.waste(job, b) ||
         this.fetchS(job, a) - this.fetchS(job, b) ||
-        this.profiles[b]!.load - this.profiles[a]!.load,
+        this.profiles[b]!.load - this.profiles[a]!.load ||
+        this.liked(job, b) - this.liked(job, a),
     );
   }
 
@@ -412,7 +413,9 @@
     const fetchB = this.starts[b]! > this.now ? 0 : this.fetchS(job, b);
     if (fetchA !== fetchB) return fetchA < fetchB;
     const load = this.profiles[a]!.load - this.profiles[b]!.load;
-    return load > 0 || (load === 0 && this.starts[a]! < this.starts[b]!);
+    if (load !== 0) return load > 0;
+    const liked = this.liked(job, a) - this.liked(job, b);
+    return liked > 0 || (liked === 0 && this.starts[a]! < this.starts[b]!);
   }
 
   private allowed(job: PlanJob, m: number, zone: number | null): boolean {
@@ -422,6 +425,9 @@
     if (machine.spot && !job.spot) return false;
     if ((zone !== null && machine.zone !== zone) || (job.zone !== null && machine.zone !== job.zone))
       return false;
+    const { match } = job;
+    if (match && !match.kind(machine.type, machine.zone, machine.spot)) return false;
+    if (match?.machine && !match.machine(machine)) return false;
     return fitCount(machine.size, job.need, 1) > 0;
   }
 
@@ -435,6 +441,11 @@
     return this.fetchS(job, m) + Math.max(0.5, job.runS);
   }
 
+  /** A preference decides only between machines that are equally loaded, which are mostly empty ones. */
+  private liked(job: PlanJob, m: number): number {
+    return job.match?.rank ? job.match.rank(this.machines[m]!) : 0;
+  }
+
   /** A machine with GPUs is kept for those who need them while others do. */
   private waste(job: PlanJob, m: number): number {
     return job.need.gpus === 0 && this.machines[m]!.size.gpus > 0 ? 1 : 0;
@@ -528,7 +539,8 @@
       (a, b) =>
         a.fetch - b.fetch ||
         this.waste(job, a.m) - this.waste(job, b.m) ||
-        this.profiles[b.m]!.load - this.profiles[a.m]!.load,
+        this.profiles[b.m]!.load - this.profiles[a.m]!.load ||
+        this.liked(job, b.m) - this.liked(job, a.m),
     );
     const perZone = new Map<number, number>();
     const picked: number[] = [];
--- a/src/plan/rent.ts
+++ b/src/plan/rent.ts
@@ -1,3 +1,4 @@
+import type { Match } from './model.js';
 import type { Amounts } from './profile.js';
 import { fitCount } from './profile.js';
 
@@ -16,6 +17,7 @@
   types: ReadonlySet<number> | null;
   zone: number | null;
   spot: boolean;
+  match: Match | null;
   need: Amounts;
   count: number;
   /** Tasks much like these, here and in other shortages, that would use what is left on a machine. */
@@ -26,6 +28,7 @@
   if (s.types && !s.types.has(o.type)) return false;
   if (s.zone !== null && o.zone !== s.zone) return false;
   if (o.spot && !s.spot) return false;
+  if (s.match && !s.match.kind(o.type, o.zone, o.spot)) return false;
   return fitCount(o.size, s.need, 1) > 0;
 }
 
--- a/src/shard/demand.ts
+++ b/src/shard/demand.ts
@@ -1,9 +1,9 @@
-import { type Job, openCount } from '../jobs/job.js';
+import { type Job, kindAllowed, openCount } from '../jobs/job.js';
 import type { Booking, PlanJob } from '../plan/model.js';
 import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import type { Shortage } from '../plan/rent.js';
-import type { Gossip } from '../supply/gossip.js';
+import { type Gossip, kindName } from '../supply/gossip.js';
 import { kindKey, type Supply } from '../supply/supply.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet } from '../workers/fleet.js';
@@ -121,7 +121,14 @@
       // What an earlier owner may have started, and may well still run, needs no machine before that is known.
       if (!job.fresh && !adopted) continue;
       if (late <= 0 || now - since < RENT_AFTER_MS) continue;
-      short.push({ types: job.types, zone: job.zone, spot: job.spec.spot, need: job.need, count: late });
+      short.push({
+        types: job.types,
+        zone: job.zone,
+        spot: job.spec.spot,
+        match: job.match,
+        need: job.need,
+        count: late,
+      });
     }
     this.needs = needs;
     this.supply.order(short, now);
@@ -139,7 +146,7 @@
       const open = openCount(job);
       if (open === 0) continue;
       const { cpus, gpus, memoryGb } = job.need;
-      const key = `${cpus} ${gpus} ${memoryGb} ${job.spec.types ?? ''} ${job.spec.zone} ${job.spec.spot}`;
+      const key = `${cpus} ${gpus} ${memoryGb} ${job.spec.types ?? ''} ${job.spec.zone} ${job.spec.spot} ${job.spec.match?.requirements ?? ''}`;
       const fit = slots.get(key) ?? this.slotsFor(job, now);
       slots.set(key, fit);
       seconds += (open * this.estimates.runS(job.spec)) / Math.max(1, fit);
@@ -151,8 +158,7 @@
   private slotsFor(job: Job, now: number): number {
     let slots = 0;
     for (const m of this.fleet.machines.values()) {
-      if (m.leaving || m.lost || m.closedUntil > now || (m.spot && !job.spec.spot)) continue;
-      if ((job.types && !job.types.has(m.type)) || (job.zone !== null && job.zone !== m.zone)) continue;
+      if (m.leaving || m.lost || m.closedUntil > now || !kindAllowed(job, m.type, m.zone, m.spot)) continue;
       slots += fitCount(this.world.catalog.size(m.type), job.need, 1000);
     }
     return slots;
@@ -171,9 +177,21 @@
       guaranteed: this.hooks.guaranteed(job),
       deadline: job.dueWall,
       waitS,
+      ...(job.match && { kinds: this.kindsOf(job) }),
     };
   }
 
+  /** The kinds of machine that may take a job which asks more than its type and zone. */
+  private kindsOf(job: Job): string[] {
+    const { zones } = this.world.names;
+    const kinds: string[] = [];
+    for (const [type, t] of this.world.catalog.all())
+      for (const zone of t.zones)
+        for (const spot of [false, true])
+          if (kindAllowed(job, type, zones.index(zone), spot)) kinds.push(kindName(t.name, zone, spot));
+    return kinds;
+  }
+
   private shortestBoot(job: Job): number {
     let best = 1e9;
     for (const [type, t] of this.world.catalog.all()) {
--- a/src/shard/outlook.ts
+++ b/src/shard/outlook.ts
@@ -52,6 +52,7 @@
       const silent = m.heardAt !== null && now - m.heardAt > reportMs * 2.5;
       const failing = m.unreachableAt !== null && now - m.unreachableAt < 6000;
       machines.push({
+        id: m.id,
         type: m.type,
         zone: m.zone,
         spot: m.spot,
@@ -82,6 +83,7 @@
 
   virtual(o: RentOption, readyAt: number): PlanMachine {
     return {
+      id: null,
       type: o.type,
       zone: o.zone,
       spot: o.spot,
@@ -114,6 +116,7 @@
       need: job.need,
       types: job.types,
       zone: job.zone,
+      match: job.match,
       oneZone: job.spec.oneZone,
       spread: job.spec.spread,
       spot: job.spec.spot,
--- a/src/shard/preemption.ts
+++ b/src/shard/preemption.ts
@@ -1,8 +1,8 @@
 import type { Log } from '../config/log.js';
-import { type Job, openCount } from '../jobs/job.js';
+import { type Job, kindAllowed, openCount } from '../jobs/job.js';
 import { chooseVictims, type PreemptMachine } from '../plan/preempt.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
-import type { Need } from '../supply/gossip.js';
+import { kindName, type Need } from '../supply/gossip.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet } from '../workers/fleet.js';
 import type { Held, Machine } from '../workers/machine.js';
@@ -97,8 +97,7 @@
     const byZone = new Map<number, PreemptMachine<Held>[]>();
     for (const m of this.fleet.machines.values()) {
       if (!m.synced || m.lost || m.leaving || m.noticeUntil !== null || this.promised.has(m.id)) continue;
-      if ((job.types && !job.types.has(m.type)) || (m.spot && !job.spec.spot)) continue;
-      if (job.zone !== null && job.zone !== m.zone) continue;
+      if (!kindAllowed(job, m.type, m.zone, m.spot)) continue;
       const victims = [];
       for (const h of m.held.values()) {
         const other = this.jobs.get(h.job);
@@ -152,6 +151,8 @@
         continue;
       if (need.types && !need.types.includes(types.name(m.type))) continue;
       if ((m.spot && !need.spot) || (need.zone !== null && need.zone !== zones.name(m.zone))) continue;
+      if (need.kinds && !need.kinds.includes(kindName(types.name(m.type), zones.name(m.zone), m.spot)))
+        continue;
       const size = this.world.catalog.size(m.type);
       if (fitCount(size, need, 1) === 0) continue;
       fitting++;
--- a/src/shard/starts.ts
+++ b/src/shard/starts.ts
@@ -1,5 +1,5 @@
 import type { Log } from '../config/log.js';
-import type { Job } from '../jobs/job.js';
+import { type Job, kindAllowed } from '../jobs/job.js';
 import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import { PRIORITY } from '../wire/users.js';
@@ -132,9 +132,7 @@
       if (this.hooks.withheld(m.id)) return false;
       if (m.unreachableAt !== null && now - m.unreachableAt < 6000) return false;
       if (fitCount(this.freeOn(m, free), job.need, n) < n) return false;
-      if (job.types && !job.types.has(m.type)) return false;
-      if (m.spot && !job.spec.spot) return false;
-      if (job.zone !== null && m.zone !== job.zone) return false;
+      if (!kindAllowed(job, m.type, m.zone, m.spot)) return false;
     }
     return this.zonesPermit(job, parts);
   }
--- a/src/shard/table.ts
+++ b/src/shard/table.ts
@@ -3,7 +3,7 @@
 import type { Amounts } from '../plan/profile.js';
 import type { JobSpec } from '../wire/users.js';
 import type { Held } from '../workers/machine.js';
-import type { World } from '../world/world.js';
+import { NOWHERE, type World } from '../world/world.js';
 import type { StatusAnswer } from './answers.js';
 
 interface Ended {
@@ -41,6 +41,7 @@
         types: spec.types && new Set(spec.types.map((t) => n.types.index(t))),
         zone: spec.zone === null ? null : n.zones.index(spec.zone),
         image: n.images.index(spec.image),
+        match: spec.match ? (this.world.matcher?.compile(spec.match) ?? NOWHERE) : null,
       },
     );
   }
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -1,6 +1,6 @@
 import { type Clock, DRIFT, pause } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
-import { type Holder, KEYS, LEVEL, readHolder } from '../keys/keys.js';
+import { type Holder, KEYS, readHolder } from '../keys/keys.js';
 import { StateFailure, type StateStore } from '../state/store.js';
 import { Mirror } from './mirror.js';
 
@@ -27,6 +27,8 @@
     private readonly log: Log,
     onChange: Mirror['entries'] extends Map<string, infer E> ? (key: string, entry: E | null) => void : never,
     private readonly onLost: () => void,
+    /** Which level of records and messages this node understands. */
+    private readonly speaks: number,
   ) {
     this.mirror = new Mirror(clock, store, KEYS.cluster, log, onChange);
   }
@@ -59,7 +61,7 @@
   }
 
   private get presence(): Holder {
-    return { ...this.holder, speaks: LEVEL };
+    return { ...this.holder, speaks: this.speaks };
   }
 
   /**
@@ -80,7 +82,7 @@
     const key = KEYS.speaks(this.node);
     try {
       const known = await this.store.get(key);
-      if (known?.value !== LEVEL) await this.store.txn([], [{ put: key, value: LEVEL }]);
+      if (known?.value !== this.speaks) await this.store.txn([], [{ put: key, value: this.speaks }]);
     } catch (error) {
       this.log.info({ error: String(error) }, 'level not told');
       this.clock.after(RETRY_MS * 5, () => void this.tellLevel());
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -1,7 +1,7 @@
 // In this room: who owns what: members, claims, leader, routing, letters.
 import type { Job, JobEntry } from '../jobs/job.js';
 import { readSpec } from '../jobs/records.js';
-import { KEYS, readMachineRecord } from '../keys/keys.js';
+import { KEYS, LEVEL, MATCH_LEVEL, readMachineRecord } from '../keys/keys.js';
 import type { Mesh } from '../peer/mesh.js';
 import type { StatusAnswer, SubmitAnswer } from '../shard/answers.js';
 import { readClaims } from '../shard/waiting.js';
@@ -48,6 +48,7 @@
       world.log,
       (key, entry) => this.changed(key, entry),
       () => this.own.dropAll(),
+      world.matcher ? MATCH_LEVEL : LEVEL,
     );
     const shards = () => this.own.shards;
     this.mailbox = new Mailbox(world, this.members.mirror, (shard, op, args) => {
@@ -203,6 +204,11 @@
     return this.routing.list(under, after);
   }
 
+  /** Whether every node serves jobs with match expressions. */
+  get allMatch(): boolean {
+    return this.owners.allMatch;
+  }
+
   // --- workers
 
   report(r: Report): ReportAnswer {
--- a/src/shards/owners.ts
+++ b/src/shards/owners.ts
@@ -1,6 +1,6 @@
 import type { JobEntry } from '../jobs/job.js';
 import { standing } from '../jobs/standing.js';
-import { LEVEL } from '../keys/keys.js';
+import { LEVEL, MATCH_LEVEL } from '../keys/keys.js';
 import { Answered, type Mesh } from '../peer/mesh.js';
 import { NOT_READY, type Others, OwnerAway, Unavailable } from '../shard/answers.js';
 import type { Shard } from '../shard/shard.js';
@@ -117,6 +117,11 @@
     return this.members.allSpeak(this.nodes, LEVEL);
   }
 
+  /** Whether every node understands jobs with match expressions. */
+  get allMatch(): boolean {
+    return this.members.allSpeak(this.nodes, MATCH_LEVEL);
+  }
+
   /** What a shard here needs of the others. */
   readonly others: Others = {
     allRead: () => this.allRead,
--- a/src/shards/routing.ts
+++ b/src/shards/routing.ts
@@ -104,6 +104,9 @@
     // An older version would not see that it waits: it would start it at once.
     if (spec.after.length > 0 && !this.owners.allRead)
       throw new Unavailable('not all controllers run a version that lets jobs wait for others');
+    // One that does not understand what it asks of machines would start it anywhere.
+    if (spec.match && !this.owners.allMatch)
+      throw new Unavailable('not all controllers serve match expressions');
     const op = spec.after.length > 0 ? 'submitAfter' : 'submit';
     let answer: SubmitAnswer;
     try {
--- a/src/supply/gossip.ts
+++ b/src/supply/gossip.ts
@@ -22,6 +22,8 @@
   guaranteed: v.boolean(),
   deadline: v.number(),
   waitS: v.number(),
+  /** The only kinds of machine that serve (`kindName`), where type, zone and spot alone do not say. */
+  kinds: v.optional(v.array(v.string())),
 });
 
 const gossip = v.object({
@@ -42,6 +44,11 @@
 export type Need = Gossip['needs'][number];
 export type Spare = Gossip['spares'][number];
 
+/** A kind of machine in messages between nodes. */
+export function kindName(type: string, zone: string, spot: boolean): string {
+  return `${type} ${zone} ${spot ? 'spot' : 'ordinary'}`;
+}
+
 export function readGossip(value: unknown): Gossip | null {
   const p = v.safeParse(gossip, value);
   return p.success ? p.output : null;
--- a/src/supply/moves.ts
+++ b/src/supply/moves.ts
@@ -1,6 +1,6 @@
 import { fitCount } from '../plan/profile.js';
 import { PRIORITY } from '../wire/users.js';
-import type { Gossip, Need, Spare } from './gossip.js';
+import { type Gossip, kindName, type Need, type Spare } from './gossip.js';
 
 /** Lesser work elsewhere is stopped for urgent tasks only when they would wait longer than this, one machine at a time. */
 const CLEAR_WAIT_S = 8;
@@ -133,7 +133,8 @@
   return (
     (!need.types || need.types.includes(s.type)) &&
     (need.zone === null || need.zone === s.zone) &&
-    (need.spot || !s.spot)
+    (need.spot || !s.spot) &&
+    (!need.kinds || need.kinds.includes(kindName(s.type, s.zone, s.spot)))
   );
 }
 
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -31,6 +31,14 @@
   deadlineS: number | null;
   /** Jobs that have to be done before any task of this one starts. */
   after: string[];
+  /** What it asks of machines beyond the above, as match expressions; not part of a submission. */
+  match?: MatchSpec;
+}
+
+/** Match expressions over a machine's attributes alone (ClassAd syntax). */
+export interface MatchSpec {
+  requirements: string;
+  rank: string | null;
 }
 
 const JOB_ID = /^wk-[A-Za-z0-9_-]{1,64}$/;
--- a/src/world/world.ts
+++ b/src/world/world.ts
@@ -5,9 +5,19 @@
 import type { Settings } from '../config/settings.js';
 import type { Requester } from '../http/client.js';
 import { NameTable } from '../names/names.js';
+import type { Match } from '../plan/model.js';
 import type { Amounts } from '../plan/profile.js';
 import type { StateStore } from '../state/store.js';
 import type { ListedMachine, MachineType } from '../wire/cloud.js';
+import type { MatchSpec } from '../wire/users.js';
+
+/** Compiles match expressions for the plan; a part of its own, loaded where it is enabled. */
+export interface Matcher {
+  compile(spec: MatchSpec): Match;
+}
+
+/** For nodes that do not serve match expressions: such a job never starts here, rather than anywhere. */
+export const NOWHERE: Match = { kind: () => false, machine: null, rank: null };
 
 /** What all parts of one node share. */
 export interface World {
@@ -21,6 +31,8 @@
   catalog: Catalog;
   /** When the record of a machine went, by the machine's id. */
   goneMachines: Map<string, number>;
+  /** Understands match expressions; null where they are not served. */
+  matcher: Matcher | null;
   /** Marks this run of the process in every name that must not be used twice. */
   run: string;
 }
--- a/tests/blame.test.ts
+++ b/tests/blame.test.ts
@@ -13,7 +13,7 @@
     const spec = readJob(job(id, { pieces: 8 }));
     assert.ok(typeof spec !== 'string');
     const record = { accepted: 0, deadline: 0, order: i, fresh: true, version: 1 };
-    j.set(id, makeJob(spec, record, { team: 0, types: null, zone: null, image: 0 }));
+    j.set(id, makeJob(spec, record, { team: 0, types: null, zone: null, image: 0, match: null }));
   }
   const m = new Map(machines.map((id) => [id, { id, errors: 0, closedUntil: 0 } as Machine]));
   const blame = new Blame(j, m, pino({ level: 'silent' }));
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -13,6 +13,7 @@
 
 function machine(change: Partial<PlanMachine> = {}): PlanMachine {
   return {
+    id: null,
     type: 0,
     zone: 0,
     spot: false,
@@ -35,6 +36,7 @@
     need: { cpus: 4, gpus: 0, memoryGb: 8 },
     types: null,
     zone: null,
+    match: null,
     oneZone: false,
     spread: false,
     spot: true,
@@ -147,7 +149,7 @@
     bootS: 30,
   });
   const need = { cpus: 4, gpus: 0, memoryGb: 1 };
-  const shortage = { types: null, zone: null, spot: false, need, count: 6 };
+  const shortage = { types: null, zone: null, spot: false, match: null, need, count: 6 };
   const options = [option(0, 1, 4), option(1, 1.5, 8), option(2, 0.1, 8, true), option(3, 0.1, 2)];
   assert.deepEqual(chooseRental(shortage, options, 8), { option: options[1], count: 3 });
   assert.equal(chooseRental({ ...shortage, spot: true }, options, 8)?.option, options[2]);
@@ -160,6 +162,7 @@
   const need = (priority: number) => ({
     types: null,
     zone: null,
+    match: null,
     spot: true,
     cpus: 8,
     gpus: 0,
@@ -226,7 +229,7 @@
   const at = (team: number, tasks: number, gpus: number) => {
     const spec = { tasks, cpus: 10, gpus, memoryGb: 1 } as JobSpec;
     const record = { accepted: 0, deadline: 0, order: 0, fresh: true, version: 1 };
-    return makeJob(spec, record, { team, types: null, zone: null, image: 0 });
+    return makeJob(spec, record, { team, types: null, zone: null, image: 0, match: null });
   };
   const [first, second, third, plain, other] = [
     at(0, 30, 1),
--- a/tests/size.test.ts
+++ b/tests/size.test.ts
@@ -11,6 +11,7 @@
 
 function fleet(): PlanMachine[] {
   return Array.from({ length: MACHINES }, (_, i) => ({
+    id: null,
     type: 0,
     zone: i % 2,
     spot: false,
@@ -36,6 +37,7 @@
     need: kind === 'gang' ? { cpus: 15, gpus: 0, memoryGb: 50 } : { cpus: 6, gpus: 1, memoryGb: 24 },
     types: null,
     zone: null,
+    match: null,
     oneZone: kind === 'gang',
     spread: false,
     spot: true,
@@ -78,6 +80,7 @@
   const short = Array.from({ length: 30 }, () => ({
     types: null,
     zone: null,
+    match: null,
     spot: false,
     need: { cpus: 10, gpus: 1, memoryGb: 54 },
     count: 5,
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -83,6 +83,8 @@
   readonly lostMessages = new Set<string>();
   readonly sent: { from: string; to: string; op: string }[] = [];
   objectives: Settings['objectives'] = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }];
+  /** What understands match expressions on each node; none by default. */
+  matcher: (names: Names) => World['matcher'] = () => null;
   private runs = 0;
   private made = 0;
 
@@ -145,6 +147,7 @@
       names,
       catalog: new Catalog(names),
       goneMachines: new Map(),
+      matcher: this.matcher(names),
       run: `${name}-${++this.runs}`,
     };
     world.store = new StateStore(clock, world.http, STATE, { ...this.stateRates, nodes: 1 });
--- a/tests/versions.test.ts
+++ b/tests/versions.test.ts
@@ -76,7 +76,7 @@
   return { state, store, settle, owner };
 }
 
-const names = { team: 0, types: null, zone: null, image: 0 };
+const names = { team: 0, types: null, zone: null, image: 0, match: null };
 const jobFrom = (s: ReturnType<typeof spec>, version: number) =>
   makeJob(s, { accepted: 1, deadline: 2, order: 1, fresh: false, version }, names);
 
--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -325,7 +325,7 @@
   const one = makeJob(
     spec,
     { accepted: 0, deadline: 0, order: 1, fresh: true, version: 1 },
-    { team: 0, types: null, zone: null, image: 0 },
+    { team: 0, types: null, zone: null, image: 0, match: null },
   );
   const log = { debug: () => undefined } as never;
   const starts = new Starts(world, 7, fleet, new Map([['wk-1', one]]), log, {
