HTCondor submit files: clusters, durable first, expanded into jobs in bounded steps

Need: teams hand over old submit files unchanged. src/condor reads the language (macros, if, queue in/from/matching, units), makes an ad and a job of each process, compiles requirements and rank for the plan, and keeps clusters: one durable record first, then processes become jobs under one expander whose term fences what it writes; ids follow from cluster, process and start, so that nothing doubles; what is cancelled late or unseen is made known first.

--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -27,6 +27,9 @@
 
 /** What users and workers ask over HTTP. */
 export class Api {
+  /** What optional parts answer, by the beginning of the path. */
+  readonly mounts = new Map<string, (r: HttpRequest) => Promise<HttpReply>>();
+
   constructor(
     private readonly world: World,
     private readonly node: ControllerNode,
@@ -55,6 +58,7 @@
       if (r.method === 'GET') return this.list(r);
       return r.method === 'POST' ? this.submit(r) : wrongMethod('GET, POST');
     }
+    for (const [under, answer] of this.mounts) if (r.path.startsWith(under)) return answer(r);
     const job = JOB_PATH.exec(r.path);
     if (!job) return { status: 404, body: { error: 'no such path' } };
     const id = decode(job[1]!);
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -26,6 +26,9 @@
   );
 addLocalCommands(command);
 addJobCommands(command);
+// Only then: it needs the language's grammar.
+if (['condor', 'help', '--help', '-h'].includes(process.argv[2] ?? ''))
+  (await import('./condor.js')).addCondorCommands(command);
 
 try {
   await command.parseAsync();
--- a/src/cli/local.ts
+++ b/src/cli/local.ts
@@ -13,6 +13,8 @@
   data?: string;
   port: number;
   seed: number;
+  condor?: boolean;
+  condorTeam?: string;
 }
 
 function number(low: number, high: number, whole = true) {
@@ -35,13 +37,14 @@
       'settings, logs and the state that outlives the cluster (a temporary one if left out)',
     )
     .option('--port <port>', 'first of the ports that are used', number(1024, 60_000), 7700)
+    .option('--condor', 'serve HTCondor submit files as well')
+    .option('--condor-team <team>', 'the team of processes without an accounting group')
     .option('--seed <n>', 'of all that is drawn', number(0, 2 ** 31), 1);
 }
 
 /** Starts a cluster, and sees to it that nothing stays behind. */
 export async function startLocal(
   flags: LocalFlags,
-  more: readonly string[] = [],
 ): Promise<{ cluster: LocalCluster; stop: () => Promise<void> }> {
   const [{ LocalCluster }, { loadPlatform }] = await Promise.all([
     import('../emulator/local.js'),
@@ -57,7 +60,10 @@
     port: flags.port,
     seed: flags.seed,
     program: fileURLToPath(new URL('../main.js', import.meta.url)),
-    flags: more,
+    flags: [
+      ...(flags.condor ? ['--condor', '--depot', `127.0.0.1:${flags.port + 1}`] : []),
+      ...(flags.condorTeam === undefined ? [] : ['--condor-team', flags.condorTeam]),
+    ],
     onError: (what) => process.stderr.write(`spartray: ${what}\n`),
   });
   const stop = async () => {
--- /dev/null
+++ b/src/condor/analyze.ts
@@ -0,0 +1,92 @@
+import type { Ad, Expr } from '../classad/ast.js';
+import { evaluate } from '../classad/evaluate.js';
+import { printExpr, printValue } from '../classad/print.js';
+
+/** A kind of machine that is offered. */
+export interface Offer {
+  type: string;
+  zone: string;
+  spot: boolean;
+  ad: Ad;
+}
+
+export interface Clause {
+  text: string;
+  /** How many kinds it alone holds for. */
+  matches: number;
+  /** Where it is a comparison with an attribute that no kind satisfies: the nearest that there is, and of how many. */
+  nearest?: string;
+}
+
+export interface Analysis {
+  kinds: number;
+  matches: number;
+  clauses: Clause[];
+  /** What keeps the process from starting, in one sentence; null when some kind matches. */
+  reason: string | null;
+}
+
+/** The parts of a requirement that must all hold. */
+export function clausesOf(e: Expr): Expr[] {
+  return e.node === 'binary' && e.op === '&&' ? [...clausesOf(e.left), ...clausesOf(e.right)] : [e];
+}
+
+const TRUE = (e: Expr, my: Ad, offer: Offer) => evaluate(e, { my, target: offer.ad }) === true;
+
+/** Which clauses of a requirement fail on which kinds. Requests that no kind is large enough for count as clauses. */
+export function analyze(
+  requirements: Expr,
+  my: Ad,
+  offers: readonly Offer[],
+  extra: readonly Expr[] = [],
+): Analysis {
+  const parts = [...extra, ...clausesOf(requirements)];
+  const clauses = parts.map((e) => {
+    const matches = offers.filter((o) => TRUE(e, my, o)).length;
+    const nearest = matches === 0 ? nearestOf(e, my, offers) : null;
+    return { text: printExpr(e), matches, ...(nearest !== null && { nearest }) };
+  });
+  const matches = offers.filter((o) => parts.every((e) => TRUE(e, my, o))).length;
+  return {
+    kinds: offers.length,
+    matches,
+    clauses,
+    reason: matches > 0 ? null : reasonOf(parts, clauses, my, offers),
+  };
+}
+
+function reasonOf(
+  parts: readonly Expr[],
+  clauses: readonly Clause[],
+  my: Ad,
+  offers: readonly Offer[],
+): string {
+  if (offers.length === 0) return 'no kind of machine is offered';
+  const failing = clauses.filter((c) => c.matches === 0);
+  if (failing.length === 0)
+    return `every clause matches some kinds, but none of the ${offers.length} matches all: ${clauses.map((c) => `${c.text} ${c.matches}`).join('; ')}`;
+  const others = parts.filter((_, i) => clauses[i]!.matches > 0);
+  const rest = offers.filter((o) => others.every((e) => TRUE(e, my, o))).length;
+  const told = failing.map((c) =>
+    c.nearest ? `${c.text}: ${c.nearest}` : `${c.text}: on none of ${offers.length} kinds`,
+  );
+  return others.length === 0 ? told.join('; ') : `${told.join('; ')}; the other clauses match ${rest}`;
+}
+
+/** Of `Memory > 512000`: the largest memory that there is. */
+function nearestOf(e: Expr, my: Ad, offers: readonly Offer[]): string | null {
+  if (e.node !== 'binary' || !/^(<|<=|>|>=|==)$/.test(e.op)) return null;
+  const asks = (x: Expr) => x.node === 'name' && (x.scope === 'target' || !my.has(x.name));
+  const side = asks(e.left) ? e.left : asks(e.right) ? e.right : null;
+  if (!side) return null;
+  const values = offers.map((o) => evaluate(side, { my, target: o.ad }));
+  const numbers = values.filter((v) => typeof v === 'bigint' || typeof v === 'number');
+  if (numbers.length === 0) {
+    const known = new Set(values.filter((v) => typeof v === 'string').map(printValue));
+    return known.size === 0 ? 'no kind has that attribute' : `there are ${[...known].slice(0, 8).join(', ')}`;
+  }
+  const larger = (side === e.left) === (e.op === '>' || e.op === '>=' || e.op === '==');
+  const best = numbers.reduce((a, b) => ((larger ? b > a : b < a) ? b : a));
+  const types = new Set(offers.filter((_, i) => values[i] === best).map((o) => o.type));
+  return `${larger ? 'largest' : 'smallest'} is ${printValue(best)} on ${types.size} type${types.size === 1 ? '' : 's'}`;
+}
--- /dev/null
+++ b/src/condor/cluster.ts
@@ -0,0 +1,142 @@
+import { Mutex } from 'async-mutex';
+import { type Ad, isLiteral } from '../classad/ast.js';
+import { evaluate } from '../classad/evaluate.js';
+import type { JobSpec, ListedJob } from '../wire/users.js';
+import type { ClusterPlan, Proc } from './procs.js';
+import { CHUNK, type ClusterRecord, type Exception } from './records.js';
+
+export type ProcState = 'idle' | 'running' | 'held' | 'removed' | 'completed';
+
+/** The numbers that the language has for states. */
+export const STATUS: Record<ProcState, bigint> = {
+  idle: 1n,
+  running: 2n,
+  removed: 3n,
+  completed: 4n,
+  held: 5n,
+};
+
+const PROCS_KEPT = 2000;
+
+/** The id of the job that one start of a process is; nobody else makes ids like it. */
+export function jobId(cluster: number, proc: number, start: number): string {
+  return `wk-condor-${cluster}-${proc}${start === 0 ? '' : `-r${start}`}`;
+}
+
+export const jobsUnder = (cluster: number) => `wk-condor-${cluster}-`;
+
+/** One cluster as the expander has it: which of its processes are jobs, and which were held, released or removed. */
+export class Cluster {
+  /** The next process to become a job. */
+  cursor: number;
+  /** Unfinished jobs, as last listed, by id; and whether all that became jobs before were in that list. */
+  jobs = new Map<string, ListedJob>();
+  listedAt = Number.NEGATIVE_INFINITY;
+  listedCursor = 0;
+  /** Jobs that have to be cancelled yet. */
+  readonly cancelling = new Set<string>();
+  readonly since = new Map<number, { state: ProcState; at: number }>();
+  checkedAt = 0;
+  /** Released processes whose new start is not a job yet. */
+  readonly waiting = new Set<number>();
+  /** It is being removed, and its jobs have not been looked at under this term. */
+  unswept = false;
+  /** What changes its records goes one after the other. */
+  readonly mutex = new Mutex();
+  private readonly made = new Map<number, Proc>();
+
+  constructor(
+    readonly number: number,
+    public record: ClusterRecord,
+    public version: number,
+    readonly plan: ClusterPlan,
+    readonly exceptions: Map<number, Exception>,
+    readonly chunks: Map<number, number>,
+  ) {
+    this.cursor = record.from;
+    // Whoever expanded it before may have been cut off between storing an exception and cancelling what it is about.
+    for (const [proc, x] of exceptions) {
+      this.cancelBefore(proc, x);
+      if (x.state === 'idle' && proc < this.cursor) this.waiting.add(proc);
+    }
+    this.unswept = record.state === 'removing';
+  }
+
+  /** Orders the cancelling of all starts of a process that do not count any more. */
+  cancelBefore(proc: number, x: Exception): void {
+    if (proc >= this.record.upTo) return;
+    const starts = x.state === 'removed' ? x.start + 1 : x.start;
+    for (let s = 0; s < starts; s++) this.cancelling.add(jobId(this.number, proc, s));
+  }
+
+  proc(n: number): Proc {
+    let p = this.made.get(n);
+    if (!p) {
+      p = this.plan.proc(this.number, n);
+      if (this.made.size >= PROCS_KEPT) this.made.delete(this.made.keys().next().value!);
+      this.made.set(n, p);
+    }
+    return p;
+  }
+
+  /** The job that a process is now. */
+  spec(n: number): JobSpec {
+    return { ...this.proc(n).spec, id: jobId(this.number, n, this.exceptions.get(n)?.start ?? 0) };
+  }
+
+  get priority(): bigint {
+    const e = this.proc(0).ad.get('JobPrio');
+    return e?.node === 'literal' && typeof e.value === 'bigint' ? e.value : 0n;
+  }
+
+  /** Whether a process is to become a job, as far as its owner has said. */
+  wanted(n: number): boolean {
+    const x = this.exceptions.get(n);
+    if (x) return x.state === 'idle';
+    return !this.proc(n).held;
+  }
+
+  state(n: number): ProcState {
+    const x = this.exceptions.get(n);
+    if (x && x.state !== 'idle') return x.state;
+    if (!x && this.proc(n).held) return 'held';
+    if (this.record.state === 'removing') return 'removed';
+    const job = this.jobs.get(jobId(this.number, n, x?.start ?? 0));
+    if (job) return job.running > 0 ? 'running' : 'idle';
+    // What was listed as unfinished and is no longer has ended; what became a job since has not been listed yet.
+    return n < Math.min(this.listedCursor, this.cursor) && !this.waiting.has(n) ? 'completed' : 'idle';
+  }
+
+  /** A process's ad as it stands, for constraints and periodic expressions. */
+  adOf(n: number, now: number): Ad {
+    const state = this.state(n);
+    const known = this.since.get(n);
+    if (known?.state !== state) this.since.set(n, { state, at: now });
+    const ad = this.proc(n).ad.copy();
+    ad.setValue('JobStatus', STATUS[state])
+      .setValue('EnteredCurrentStatus', BigInt(Math.floor(this.since.get(n)!.at)))
+      .setValue('NumJobStarts', BigInt(this.exceptions.get(n)?.start ?? 0))
+      .setValue('CurrentTime', BigInt(Math.floor(now)));
+    const why = this.exceptions.get(n)?.why;
+    if (state === 'held' && why) ad.setValue('HoldReason', why);
+    return ad;
+  }
+
+  says(n: number, attribute: string, now: number): boolean {
+    const ad = this.adOf(n, now);
+    const e = ad.get(attribute);
+    if (!e) return false;
+    const value = evaluate(e, { my: ad, now });
+    return isLiteral(value) && value === true;
+  }
+
+  get counts(): Record<ProcState, number> {
+    const counts = { idle: 0, running: 0, held: 0, removed: 0, completed: 0 };
+    for (let n = 0; n < this.record.total; n++) counts[this.state(n)]++;
+    return counts;
+  }
+
+  chunkNumbers(procs: Iterable<number>): number[] {
+    return [...new Set([...procs].map((p) => Math.floor(p / CHUNK)))];
+  }
+}
--- /dev/null
+++ b/src/condor/records.ts
@@ -0,0 +1,225 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import * as v from 'valibot';
+import { KEYS } from '../keys/keys.js';
+import { StateFailure, type StateStore } from '../state/store.js';
+import type { Condition, Write } from '../wire/state.js';
+import type { Submission } from './procs.js';
+
+/** Where clusters are in the state service. */
+const CONDOR = {
+  /** The number of the next cluster; only ever grows. */
+  next: 'condor/next',
+  /** Who expands clusters; under the prefix that every node watches. */
+  expander: `${KEYS.cluster}condor`,
+  clusters: 'condor/c/',
+  cluster: (n: number) => `condor/c/${padded(n)}`,
+  submission: (id: string) => `condor/s/${id}`,
+  parts: (id: string) => `condor/p/${id}/`,
+  part: (id: string, i: number) => `condor/p/${id}/${padded(i)}`,
+  exceptions: (n: number) => `condor/x/${padded(n)}/`,
+  chunk: (n: number, i: number) => `condor/x/${padded(n)}/${padded(i)}`,
+} as const;
+export const EXPANDER = CONDOR.expander;
+
+function padded(n: number): string {
+  return String(n).padStart(8, '0');
+}
+
+const clusterValue = v.object({
+  submission: v.string(),
+  parts: v.number(),
+  user: v.string(),
+  batch: v.nullable(v.string()),
+  at: v.number(),
+  total: v.number(),
+  /** All processes below `from` are jobs; those from there up to `upTo` may be. */
+  from: v.number(),
+  upTo: v.number(),
+  state: v.picklist(['active', 'removing', 'over']),
+  /** Of one that is over: how its processes ended. */
+  removed: v.optional(v.number(), 0),
+});
+export type ClusterRecord = v.InferOutput<typeof clusterValue>;
+
+const exceptionValue = v.object({
+  /** Which start of the process counts; all before it are cancelled. */
+  start: v.number(),
+  state: v.picklist(['idle', 'held', 'removed']),
+  why: v.string(),
+});
+/** A process that was held, released or removed. */
+export type Exception = v.InferOutput<typeof exceptionValue>;
+const chunkValue = v.record(v.string(), exceptionValue);
+
+/** So many processes are in one record of exceptions. */
+export const CHUNK = 32;
+const TRIES = 8;
+const TXN_BYTES = 40 * 1024;
+const MOST_INFLATED = 4 * 1024 * 1024;
+
+export interface Loaded {
+  number: number;
+  record: ClusterRecord;
+  version: number;
+}
+
+/** Clusters in the state service. What the expander writes holds only under its own term. */
+export class ClusterRecords {
+  constructor(
+    private readonly store: StateStore,
+    private readonly limits: { valueKb: number; txnOps: number },
+  ) {}
+
+  /**
+   * Makes a cluster durable; the same submission always gets the same number, whoever repeats it and whenever. Its text
+   * goes first, in parts that fit the state service's limits; nothing reads them before the record is there.
+   */
+  async create(id: string, s: Submission, total: number, batch: string | null): Promise<number> {
+    const known = await this.numberOf(id);
+    if (known !== null) return known;
+    const bytes = deflateRawSync(JSON.stringify(s));
+    const per = Math.floor((this.limits.valueKb * 1000 * 3) / 4) - 16;
+    const writes: Write[] = [];
+    for (let i = 0; i * per < bytes.length; i++)
+      writes.push({
+        put: CONDOR.part(id, i),
+        value: bytes.subarray(i * per, (i + 1) * per).toString('base64'),
+      });
+    const together = Math.max(1, Math.min(this.limits.txnOps, Math.floor(TXN_BYTES / (per * 1.4))));
+    for (let i = 0; i < writes.length; i += together) await this.store.txn([], writes.slice(i, i + together));
+    const record: ClusterRecord = {
+      submission: id,
+      parts: writes.length,
+      user: s.user,
+      batch,
+      at: s.at,
+      total,
+      from: 0,
+      upTo: 0,
+      state: 'active',
+      removed: 0,
+    };
+    for (let i = 0; i < TRIES; i++) {
+      const next = await this.store.get(CONDOR.next);
+      const number = next ? Number(next.value) : 1;
+      try {
+        const made = await this.store.txn(
+          [
+            { key: CONDOR.next, version: next?.version ?? 0 },
+            { key: CONDOR.submission(id), version: 0 },
+          ],
+          [
+            { put: CONDOR.next, value: number + 1 },
+            { put: CONDOR.submission(id), value: number },
+            { put: CONDOR.cluster(number), value: record },
+          ],
+        );
+        if (made.ok) return number;
+      } catch (error) {
+        if (!(error instanceof StateFailure) || !error.maybe) throw error;
+      }
+      const mine = await this.numberOf(id);
+      if (mine !== null) return mine;
+    }
+    throw new StateFailure('too many clusters at once', false);
+  }
+
+  private async numberOf(id: string): Promise<number | null> {
+    const e = await this.store.get(CONDOR.submission(id));
+    return e ? Number(e.value) : null;
+  }
+
+  /** All clusters that there are, the finished ones too. */
+  async all(): Promise<Loaded[]> {
+    const { entries } = await this.store.list(CONDOR.clusters);
+    const out: Loaded[] = [];
+    for (const e of entries) {
+      const p = v.safeParse(clusterValue, e.value);
+      const number = Number(e.key.slice(CONDOR.clusters.length));
+      if (p.success) out.push({ number, record: p.output, version: e.version });
+    }
+    return out;
+  }
+
+  async submission(record: ClusterRecord): Promise<Submission> {
+    const { entries } = await this.store.list(CONDOR.parts(record.submission));
+    if (entries.length !== record.parts) throw new StateFailure('a submission that is not whole', false);
+    const bytes = Buffer.concat(entries.map((e) => Buffer.from(String(e.value), 'base64')));
+    return JSON.parse(
+      inflateRawSync(bytes, { maxOutputLength: MOST_INFLATED }).toString('utf8'),
+    ) as Submission;
+  }
+
+  async exceptions(
+    n: number,
+  ): Promise<{ exceptions: Map<number, Exception>; versions: Map<number, number> }> {
+    const { entries } = await this.store.list(CONDOR.exceptions(n));
+    const exceptions = new Map<number, Exception>();
+    const versions = new Map<number, number>();
+    for (const e of entries) {
+      versions.set(Number(e.key.slice(CONDOR.exceptions(n).length)), e.version);
+      const p = v.safeParse(chunkValue, e.value);
+      if (p.success) for (const [proc, x] of Object.entries(p.output)) exceptions.set(Number(proc), x);
+    }
+    return { exceptions, versions };
+  }
+
+  /** Writes a cluster's record under a term; null when the term is over or another write came before. */
+  async put(term: number, c: Loaded, record: ClusterRecord): Promise<number | null> {
+    return this.write(
+      term,
+      [{ key: CONDOR.cluster(c.number), version: c.version }],
+      [{ put: CONDOR.cluster(c.number), value: record }],
+    );
+  }
+
+  /** Writes chunks of exceptions under a term; each as large as the limits allow. False when the term is over. */
+  async putExceptions(
+    term: number,
+    n: number,
+    all: ReadonlyMap<number, Exception>,
+    chunks: readonly number[],
+    versions: Map<number, number>,
+  ): Promise<boolean> {
+    const per = Math.max(1, Math.min(this.limits.txnOps, 8));
+    for (let i = 0; i < chunks.length; i += per) {
+      const part = chunks.slice(i, i + per);
+      const revision = await this.write(
+        term,
+        part.map((k) => ({ key: CONDOR.chunk(n, k), version: versions.get(k) ?? 0 })),
+        part.map((k) => ({ put: CONDOR.chunk(n, k), value: chunkOf(all, k) })),
+      );
+      if (revision === null) return false;
+      for (const k of part) versions.set(k, revision);
+    }
+    return true;
+  }
+
+  /** Takes away what a finished cluster needs no more, a few records at a time. */
+  async sweep(term: number, c: Loaded): Promise<void> {
+    const per = Math.max(1, this.limits.txnOps);
+    for (const under of [CONDOR.parts(c.record.submission), CONDOR.exceptions(c.number)]) {
+      const { entries } = await this.store.list(under);
+      for (let i = 0; i < entries.length; i += per)
+        await this.write(
+          term,
+          [],
+          entries.slice(i, i + per).map((e) => ({ delete: e.key })),
+        );
+    }
+  }
+
+  private async write(term: number, when: Condition[], writes: Write[]): Promise<number | null> {
+    const result = await this.store.txn([{ key: CONDOR.expander, version: term }, ...when], writes);
+    return result.ok ? result.revision : null;
+  }
+}
+
+function chunkOf(all: ReadonlyMap<number, Exception>, chunk: number): object {
+  const value: Record<string, Exception> = {};
+  for (let p = chunk * CHUNK; p < (chunk + 1) * CHUNK; p++) {
+    const x = all.get(p);
+    if (x) value[p] = x;
+  }
+  return value;
+}
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -35,6 +35,9 @@
   check?: boolean;
   logLevel: string;
   clockSpeed: number;
+  condor?: boolean;
+  condorTeam?: string;
+  depot?: string;
   endWithStdin?: boolean;
 }
 
@@ -74,8 +77,21 @@
     matcher: null,
     run: `${settings.node}-${randomUUID().slice(0, 13)}`,
   };
+  // Optional parts cost nothing where they are not enabled.
+  const condor = options.condor
+    ? await Promise.all([import('./condor/matcher.js'), import('./condor/service.js')])
+    : null;
+  if (condor) world.matcher = new condor[0].ClassAdMatcher(names, world.catalog);
   const node = new ControllerNode(world);
   const api = new Api(world, node);
+  if (condor) {
+    const service = new condor[1].CondorService(world, node, {
+      team: options.condorTeam ?? null,
+      depot: options.depot ?? null,
+    });
+    api.mounts.set('/condor/', (request) => service.handle(request));
+    service.start();
+  }
   const onError = (error: unknown) =>
     log.error({ error: error instanceof Error ? error.stack : String(error) }, 'error');
   const mesh = new PeerMesh(clock, settings.node, settings.peers, onError, (why) =>
@@ -132,6 +148,19 @@
       .argParser(speed)
       .default(1),
   )
+  .addOption(
+    new Option('--condor', 'serve HTCondor submit files (docs/operations-condor.md)').env('SPARTRAY_CONDOR'),
+  )
+  .addOption(
+    new Option('--condor-team <team>', 'the team of processes without an accounting group').env(
+      'SPARTRAY_CONDOR_TEAM',
+    ),
+  )
+  .addOption(
+    new Option('--depot <host:port>', 'where descriptions of jobs made here are uploaded').env(
+      'SPARTRAY_DEPOT',
+    ),
+  )
   .addOption(new Option('--end-with-stdin', 'end when the standard input does (trials on one machine)'))
   .addHelpText('after', '\nCommands beside the controller: spartray help')
   .action(async (options: Options) => {
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -3,7 +3,7 @@
 import { readSpec } from '../jobs/records.js';
 import { KEYS, LEVEL, MATCH_LEVEL, readMachineRecord } from '../keys/keys.js';
 import type { Mesh } from '../peer/mesh.js';
-import type { StatusAnswer, SubmitAnswer } from '../shard/answers.js';
+import { type StatusAnswer, type SubmitAnswer, Unavailable } from '../shard/answers.js';
 import { readClaims } from '../shard/waiting.js';
 import { readGossip, readNeed } from '../supply/gossip.js';
 import type { Entry } from '../wire/state.js';
@@ -35,6 +35,8 @@
   private readonly routing: Routing;
   private readonly mailbox: Mailbox;
   private readonly cloud: CloudWatch;
+  /** What optional parts of a node answer to the same parts of others. */
+  readonly extensions = new Map<string, (args: Record<string, unknown>) => Promise<unknown>>();
   private leaving = false;
   private mesh: Mesh | null = null;
 
@@ -166,8 +168,11 @@
         return this.owners.local(a.shard).cancel(String(a.id));
       case 'list':
         return this.owners.local(a.shard).list(String(a.under), String(a.after), Number(a.most));
-      default:
-        throw new Error(`unknown request ${op}`);
+      default: {
+        const extension = this.extensions.get(op);
+        if (!extension) throw new Error(`unknown request ${op}`);
+        return extension(a);
+      }
     }
   }
 
@@ -209,6 +214,12 @@
     return this.owners.allMatch;
   }
 
+  /** Puts a question to the same part of another node. */
+  askNode(node: string, op: string, args: object, timeoutMs: number): Promise<unknown> {
+    if (!this.mesh) throw new Unavailable('not connected yet');
+    return this.mesh.ask(node, op, args, timeoutMs);
+  }
+
   // --- workers
 
   report(r: Report): ReportAnswer {
--- a/src/world/world.ts
+++ b/src/world/world.ts
@@ -48,6 +48,8 @@
 /** Machine types as the cloud last told them. */
 export class Catalog {
   private readonly byIndex = new Map<number, MachineType>();
+  /** Counts what the cloud tells anew. */
+  version = 0;
   listed: ListedMachine[] = [];
   listedById = new Map<string, ListedMachine>();
 
@@ -58,6 +60,7 @@
   }
 
   set(types: MachineType[]): void {
+    this.version++;
     for (const t of types) this.byIndex.set(this.names.types.index(t.name), t);
   }
 
--- a/tests/rooms.test.ts
+++ b/tests/rooms.test.ts
@@ -25,6 +25,7 @@
   'shard',
   'shards',
   'api',
+  'condor',
   'cli',
 ];
 const LINES_MOST = 600;
