--- a/src/condor/expander.ts
+++ b/src/condor/expander.ts
@@ -154,8 +154,15 @@
       : UNFINISHED_MOST;
   }
 
+  /** It is not being removed, and what is known of it here is what counts. */
+  private grows(c: Cluster): boolean {
+    return c.record.state === 'active' && this.clusters.get(c.number) === c;
+  }
+
   /** Makes jobs of the next processes; returns how many steps that took. */
   private async grow(c: Cluster, most: number): Promise<number> {
+    // Its owner may have removed it while others had their turn.
+    if (!this.grows(c)) return 0;
     if (c.waiting.size > 0) {
       const again = [...c.waiting].slice(0, most);
       await Promise.all(again.map((n) => this.submit(c, n).then(() => c.waiting.delete(n))));
@@ -173,12 +180,13 @@
   /** Stores which processes may become jobs next, before any of them does. */
   private async widen(c: Cluster): Promise<boolean> {
     const upTo = Math.min(c.record.total, c.cursor + WINDOW);
-    return this.put(c, { from: c.cursor, upTo });
+    return this.put(c, { from: c.cursor, upTo }, true);
   }
 
-  private put(c: Cluster, change: Partial<Cluster['record']>): Promise<boolean> {
+  private put(c: Cluster, change: Partial<Cluster['record']>, growing = false): Promise<boolean> {
     return c.mutex.runExclusive(async () => {
-      if (this.term === null || this.clusters.get(c.number) !== c) return false;
+      if (this.term === null || this.clusters.get(c.number) !== c || (growing && !this.grows(c)))
+        return false;
       const record = { ...c.record, ...change };
       let version: number | null = null;
       try {
@@ -203,7 +211,7 @@
     const spec = c.spec(n);
     await this.upload(spec);
     // From here on until the answer another node may have taken over: it submits the same id, which is accepted once.
-    if (!this.active) throw new Unavailable('no longer the expander');
+    if (!this.active || !this.grows(c)) throw new Unavailable('no longer expanded here');
     let answer = await this.node.submit(spec);
     // The cluster was accepted as a whole: a deadline that cannot be met any more is kept as well as can be.
     if (answer.kind === 'refused') answer = await this.node.submit({ ...spec, deadlineS: null });
--- a/src/condor/language.ts
+++ b/src/condor/language.ts
@@ -13,7 +13,9 @@
 export interface Queue {
   line: number;
   column: number;
-  /** How many processes for each item, as written. */
+  /** The statement as written. */
+  text: string;
+  /** How many processes for each item. */
   count: string;
   variables: string[];
   items: Items;
@@ -220,6 +222,7 @@
     const items = how ? this.items(how, macros.expand(rest, line, column), fail) : { kind: 'none' as const };
     if (how && variables.length === 0) variables.push('Item');
     this.queues.push({
+      text,
       line,
       column,
       count: macros.expand(count[1]?.trim() || '1', line, column),
--- a/src/condor/procs.ts
+++ b/src/condor/procs.ts
@@ -157,7 +157,7 @@
     for (const [, name] of text.matchAll(/\$[A-Za-z_]*\(\s*([A-Za-z_]\w*)/g)) names.add(name!.toLowerCase());
   };
   for (const s of q.settings.values()) look(s.value);
-  look(q.count);
+  look(q.text);
   return names;
 }
 
--- /dev/null
+++ b/tests/condor.test.ts
@@ -0,0 +1,437 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseExpr } from '../src/classad/parser.js';
+import { analyze } from '../src/condor/analyze.js';
+import { parseSubmit, rowsOf } from '../src/condor/language.js';
+import { SubmitError } from '../src/condor/macros.js';
+import { ClassAdMatcher, kindAd } from '../src/condor/matcher.js';
+import { ClusterPlan } from '../src/condor/procs.js';
+import { Plan } from '../src/plan/plan.js';
+import { Catalog, Names } from '../src/world/world.js';
+import { FakeCluster, job } from './support/cluster.js';
+
+const OPTIONS = { teams: ['red', 'blue'], team: null, never: () => null };
+const HEAD = 'executable = run.sh\naccounting_group = red\n';
+const plan = (text: string, rows: Record<string, string[]> = {}) =>
+  new ClusterPlan({ text, rows, user: 'ann', at: 0 }, OPTIONS);
+const specs = (text: string, rows?: Record<string, string[]>) => {
+  const p = plan(text, rows);
+  return Array.from({ length: p.total }, (_, n) => p.proc(7, n).spec);
+};
+const args = (text: string, rows?: Record<string, string[]>) => {
+  const p = plan(text, rows);
+  return Array.from({ length: p.total }, (_, n) => {
+    const e = p.proc(7, n).ad.get('Args');
+    return e?.node === 'literal' ? e.value : null;
+  });
+};
+
+test('a submit file makes the processes that it says', () => {
+  assert.deepEqual(args(`${HEAD}arguments = $(Cluster).$(Process) $(x:none)\nqueue 2\nx = 5\nqueue`), [
+    '7.0 none',
+    '7.1 none',
+    '7.2 5',
+  ]);
+  assert.deepEqual(
+    args(`${HEAD}arguments = $(a)|$(b)|$(Step)\nqueue 2 a, b from (\n one two three\n "x y", z\n)`),
+    ['one|two three|0', 'one|two three|1', 'x y|z|0', 'x y|z|1'],
+  );
+  assert.deepEqual(
+    args(`${HEAD}arguments = $Fnx(f) $INT(n) $CHOICE(1, p, q)\nn = 3.7\nqueue f from list`, {
+      0: ['d/a.txt'],
+    }),
+    ['a.txt 3 q'],
+  );
+  assert.deepEqual(args(`${HEAD}arguments = $(Item)\nqueue in [-2:] (a b c)`), ['b', 'c']);
+  assert.deepEqual(
+    args(`${HEAD}a = 1\na = $(a)2\narguments = $(a) \\\n  more\nif $(a) > 3\nqueue\nelse\nqueue 9\nendif`),
+    ['12   more'],
+  );
+  const [s] = specs(
+    `${HEAD}request_memory = 1.5 GB\nrequest_cpus = 1 + 1\nrequest_gpus = 1\nnice_user = true\nqueue`,
+  );
+  assert.deepEqual(
+    [s!.memoryGb, s!.cpus, s!.gpus, s!.priority, s!.team, s!.match],
+    [1.5, 2, 1, 0, 'red', undefined],
+  );
+  const [gang] = specs(`${HEAD}universe = parallel\nmachine_count = 3\naccounting_group = blue.x.y\nqueue`);
+  assert.deepEqual([gang!.kind, gang!.tasks, gang!.oneZone, gang!.team], ['gang', 3, true, 'blue']);
+  const [asks] = specs(
+    `${HEAD}request_memory = 2G\nrequirements = Memory >= RequestMemory && ProcId == 0\nrank = Cpus * 2\nqueue`,
+  );
+  assert.deepEqual(asks!.match, { requirements: 'TARGET.Memory >= 2048', rank: 'TARGET.Cpus * 2' });
+});
+
+test('what is wrong in a submit file is said by line and column, and nothing of it is made', () => {
+  const wrong: [string, number, number, RegExp][] = [
+    ['executable = a\nqueue 2 x', 2, 1, /"in", "from" or "matching"/],
+    ['executable = a', 1, 1, /"queue" was expected/],
+    [`${HEAD}requirements = Memory >\nqueue`, 3, 24, /value/],
+    [`${HEAD}requirements = (Memory > 3\nqueue`, 3, 27, /expected/],
+    [`${HEAD}what is this\nqueue`, 3, 1, /name = value/],
+    [`${HEAD}if defined x\nqueue`, 3, 1, /endif/],
+    [`${HEAD}include : other\nqueue`, 3, 1, /include/],
+    [`${HEAD}arguments = a $$(Memory)\nqueue`, 3, 15, /machine/],
+    [`${HEAD}arguments = $(a)\na = $(b)\nb = $(a)\nqueue`, 4, 5, /need each other/],
+    [`${HEAD}arguments = $(a\nqueue`, 3, 13, /closing bracket/],
+    [`${HEAD}request_cpus = -1\nqueue`, 3, 16, /RequestCpus/],
+    [`${HEAD}request_cpus = "many"\nqueue`, 3, 16, /RequestCpus/],
+    ['executable = a\naccounting_group = green\nqueue', 2, 20, /red, blue/],
+    ['accounting_group = red\nqueue', 2, 1, /executable/],
+    [`${HEAD}cron_hour = 3\nqueue`, 3, 1, /calendar/],
+    [`${HEAD}on_exit_remove = ExitCode != 0\nqueue`, 3, 18, /for ever/],
+    [`${HEAD}queue x in (a b`, 3, 1, /"\)"/],
+    [`${HEAD}queue 200000`, 3, 1, /100000 processes/],
+    [`${HEAD}queue 0`, 3, 1, /no process/],
+    [`${HEAD}x = ${'y'.repeat(66_000)}\nqueue`, 1, 1, /64 KiB/],
+    [`${HEAD}requirements = ${'('.repeat(3000)}\nqueue`, 3, 116, /nested/],
+  ];
+  for (const [text, line, column, message] of wrong) {
+    assert.throws(
+      () => plan(text).check(),
+      (error) => {
+        assert.ok(error instanceof SubmitError, `${text}: ${error}`);
+        assert.match(error.message, message);
+        assert.deepEqual([error.line, error.column], [line, column], text.slice(0, 200));
+        return true;
+      },
+    );
+  }
+  const grown = `${HEAD}a0 = xxxxxxxxxx\n${Array.from({ length: 30 }, (_, i) => `a${i + 1} = $(a${i})$(a${i})`).join('\n')}\narguments = $(a30)\nqueue`;
+  assert.throws(() => plan(grown).check(), /too much text/);
+  const kept = plan(`${HEAD}log = x\noutput = y\nfroboz = 1\ncount = 2\nqueue $(count)`);
+  assert.deepEqual(
+    kept.warnings.map((w) => w.split(' ').slice(0, 3).join(' ')),
+    ['line 3: log', 'line 4: output', 'line 5: froboz'],
+  );
+  assert.equal(rowsOf(parseSubmit(`${HEAD}queue Item in (a,b , c)`)[0]!).length, 3);
+});
+
+function market() {
+  const names = new Names();
+  const catalog = new Catalog(names);
+  const type = (name: string, cpus: number, memoryGb: number, zones: string[]) => ({
+    name,
+    cpus,
+    gpus: 0,
+    memoryGb,
+    cacheGb: 100,
+    fetchGbPerS: 1,
+    price: cpus / 10,
+    spotPrice: cpus / 30,
+    bootS: 30,
+    zones,
+  });
+  catalog.set([type('c8', 8, 32, ['a', 'b']), type('c32', 32, 256, ['a'])]);
+  for (const z of ['a', 'b']) names.zones.index(z);
+  return { names, catalog, type, matcher: new ClassAdMatcher(names, catalog) };
+}
+
+test('a requirement is asked once of each kind and of each machine as it stands, and holds for types that come later', () => {
+  const { matcher, catalog, type } = market();
+  const m = matcher.compile({ requirements: 'Memory > 100000 && !Spot', rank: null });
+  assert.equal(m.machine, null);
+  for (let i = 0; i < 5; i++) {
+    assert.equal(m.kind(0, 0, false), false);
+    assert.equal(m.kind(1, 0, false), true);
+    assert.equal(m.kind(1, 0, true), false);
+    assert.equal(m.kind(2, 0, false), false, 'not known yet');
+  }
+  assert.equal(matcher.asked, 3);
+  catalog.set([type('huge', 64, 512, ['b'])]);
+  assert.equal(m.kind(2, 1, false), true);
+  const single = matcher.compile({
+    requirements: 'LoadAvg < 2 && Machine != "m-1" && Memory > 1',
+    rank: 'member("img", CachedImages) * 5',
+  });
+  const machine = (id: string, cpus: number) => ({
+    id,
+    type: 0,
+    zone: 0,
+    spot: false,
+    size: { cpus: 8, gpus: 0, memoryGb: 32 },
+    readyAt: 0,
+    until: Number.POSITIVE_INFINITY,
+    closed: false,
+    fetchGbPerS: 1,
+    images: new Set<number>(),
+    held: cpus > 0 ? [{ team: 0, end: 1, need: { cpus, gpus: 0, memoryGb: 1 } }] : [],
+  });
+  assert.equal(single.kind(0, 0, false), true, 'only its machines can tell');
+  const before = matcher.asked;
+  for (let i = 0; i < 4; i++) {
+    assert.equal(single.machine!(machine('m-1', 0)), false);
+    assert.equal(single.machine!(machine('m-2', 0)), true);
+  }
+  assert.equal(matcher.asked, before + 2);
+  assert.equal(single.machine!(machine('m-2', 4)), false, 'it is asked again when its load has changed');
+  assert.equal(single.rank!(machine('m-2', 0)), 0);
+});
+
+test('rank decides between machines that are equally loaded, and only there', () => {
+  const { matcher } = market();
+  const match = matcher.compile({ requirements: 'true', rank: 'Machine == "m-1"' });
+  const size = { cpus: 8, gpus: 0, memoryGb: 32 };
+  const machine = (id: string, held: { team: number; end: number; need: typeof size }[]) => ({
+    id,
+    type: 0,
+    zone: 0,
+    spot: false,
+    size,
+    readyAt: 0,
+    until: Number.POSITIVE_INFINITY,
+    closed: false,
+    fetchGbPerS: 1,
+    images: new Set([0]),
+    held,
+  });
+  const asked = {
+    id: 1,
+    team: 0,
+    kind: 'array' as const,
+    need: { cpus: 2, gpus: 0, memoryGb: 1 },
+    types: null,
+    zone: null,
+    match,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    image: 0,
+    imageGb: 1,
+    runS: 60,
+    deadline: 1000,
+    total: 1,
+    tasks: [0],
+    present: new Map(),
+  };
+  const place = (held: { team: number; end: number; need: typeof size }[]) => {
+    const p = new Plan(0, [machine('m-0', held), machine('m-1', [])], [{ cpus: 0, gpus: 0 }]);
+    p.book(asked);
+    return p.bookings[0]!.machine;
+  };
+  assert.equal(place([]), 1, 'both are empty: the preferred one');
+  assert.equal(
+    place([{ team: 0, end: 100, need: { ...size, cpus: 4 } }]),
+    0,
+    'the more loaded one, preferred or not',
+  );
+});
+
+test('what no kind matches is said clause by clause', () => {
+  const { catalog } = market();
+  const offers = catalog
+    .all()
+    .flatMap(([, t]) =>
+      t.zones.map((zone) => ({ type: t.name, zone, spot: false, ad: kindAd(t, zone, false) })),
+    );
+  const my = plan(`${HEAD}queue`).proc(1, 0).ad;
+  const a = analyze(parseExpr('Memory > 512000 && Zone == "a"'), my, offers);
+  assert.deepEqual([a.kinds, a.matches], [3, 0]);
+  assert.equal(a.reason, 'Memory > 512000: largest is 262144 on 1 type; the other clauses match 2');
+  assert.equal(analyze(parseExpr('Zone == "c"'), my, offers).reason, 'Zone == "c": there are "a", "b"');
+  assert.match(
+    analyze(parseExpr('Zone == "b" && Cpus > 8'), my, offers).reason!,
+    /none of the 3 matches all/,
+  );
+  assert.equal(analyze(parseExpr('Cpus > 8'), my, offers).reason, null);
+});
+
+// --- clusters on scripted peers
+
+function condorCluster(nodes: string[], workers = 4): FakeCluster {
+  const c = new FakeCluster(nodes);
+  c.condor = true;
+  c.teams = [{ name: 'red', cpus: 64, cpusMax: 0, gpus: 0, gpusMax: 0 }];
+  for (let i = 0; i < workers; i++) c.addWorker(i % 2 ? 'g8' : 'c8', i % 3 ? 'a' : 'b');
+  for (const n of nodes) c.startNode(n);
+  return c;
+}
+
+async function ask(c: FakeCluster, node: string, method: string, path: string, body: object | null = null) {
+  for (let i = 0; i < 60; i++) {
+    if (!c.nodes.has(node)) {
+      await c.clock.advance(500);
+      continue;
+    }
+    const mark = path.indexOf('?');
+    const request = c.request(method, mark < 0 ? path : path.slice(0, mark), body);
+    request.query = new URLSearchParams(mark < 0 ? '' : path.slice(mark + 1));
+    const reply = await c.answered(c.nodes.get(node)!.api.handle(request));
+    if (reply.status < 500 && reply.status !== 429)
+      return { status: reply.status, body: JSON.parse(JSON.stringify(reply.body)) };
+    await c.clock.advance(500);
+  }
+  return { status: 503, body: {} };
+}
+
+const submission = (text: string, n = 0) => ({
+  submission: `submission-${n}`,
+  text: HEAD + text,
+  user: 'ann',
+});
+
+/** Ends what runs, as it comes, and counts how often each task was done. */
+function finisher(c: FakeCluster) {
+  const done = new Map<string, number>();
+  const step = () => {
+    for (const w of c.workers)
+      for (const a of w.attempts)
+        if (a.state === 'running') {
+          done.set(a.task, (done.get(a.task) ?? 0) + 1);
+          w.end(a.task, 'done');
+        }
+    c.clock.after(400, step);
+  };
+  step();
+  return { done };
+}
+
+/** Kills the node that makes each `every`th durable step of an expansion, its answer lost, and starts it again. */
+async function expandThroughCrashes(procs: number, every: number, first: number): Promise<void> {
+  const c = condorCluster(['n0', 'n1'], 8);
+  const { done } = finisher(c);
+  let steps = 0;
+  let kills = 0;
+  const made = await ask(c, 'n0', 'POST', '/condor/clusters', submission(`request_cpus = 1\nqueue ${procs}`));
+  assert.deepEqual([made.status, made.body.cluster, made.body.procs], [201, 1, procs]);
+  c.net.fate = (from, _addr, method, path, body) => {
+    const text = method === 'POST' && path === '/txn' ? JSON.stringify(body) : '';
+    if (!text.includes('condor/') && !text.includes('act/wk-condor')) return 'deliver';
+    if (++steps % every !== first || kills >= 12 || !c.nodes.has(from)) return 'deliver';
+    kills++;
+    c.killNode(from);
+    c.clock.after(700, () => c.startNode(from));
+    return kills % 2 ? 'lost-answer' : 'silent';
+  };
+  const over = () => (c.state.value('condor/c/00000001') as { state: string }).state === 'over';
+  assert.ok(await c.clock.until(over, 1_200_000), `${done.size} of ${procs} done after ${kills} kills`);
+  assert.ok(kills > 2, 'the test kills');
+  const ids = [...c.state.items.keys()].filter((k) => k.startsWith('job/wk-condor-')).map((k) => k.slice(4));
+  assert.equal(ids.length, procs);
+  assert.equal([...c.state.items.keys()].filter((k) => k.startsWith('act/wk-condor')).length, 0);
+  for (const id of ids) assert.equal((c.state.value(`job/${id}`) as { final: string }).final, 'done', id);
+  assert.equal(done.size, procs);
+  // A node that dies between a completion and its record leaves the worker's report, which is not a second run.
+  for (const [task, n] of done) assert.equal(n, 1, task);
+}
+
+for (const first of [0, 1, 2]) {
+  test(`an expander killed at durable steps (${first} of 3 in turn) neither loses nor doubles a process`, () =>
+    expandThroughCrashes(150, 3 * 5 + 1, first * 5 + 1));
+}
+
+test('a submission that is repeated gets the same cluster, and numbers are not used again after all restarted', async () => {
+  const c = condorCluster(['n0', 'n1']);
+  const numbers = [];
+  for (const n of [1, 1, 2])
+    numbers.push(
+      (await ask(c, `n${n % 2}`, 'POST', '/condor/clusters', submission('queue', n))).body.cluster,
+    );
+  assert.deepEqual(numbers, [1, 1, 2]);
+  const f = finisher(c);
+  assert.ok(await c.clock.until(() => f.done.size === 2, 60_000));
+  for (const n of ['n0', 'n1']) c.killNode(n);
+  for (const n of ['n0', 'n1']) c.startNode(n);
+  assert.equal((await ask(c, 'n0', 'POST', '/condor/clusters', submission('queue', 3))).body.cluster, 3);
+});
+
+test('bad files are refused whole, with where it is wrong', async () => {
+  const c = condorCluster(['n0']);
+  const send = async (body: object) =>
+    (await ask(c, 'n0', 'POST', '/condor/clusters', body)) as {
+      status: number;
+      body: { error: string; line?: number };
+    };
+  assert.equal((await send({ text: 'queue' })).status, 400);
+  const nested = await send(submission(`requirements = ${'{'.repeat(500)}\nqueue`));
+  assert.deepEqual([nested.status, nested.body.line], [400, 3]);
+  assert.equal((await send(submission('requirements = "open\nqueue'))).body.line, 3);
+  // The last process of many is wrong as well as the first.
+  assert.equal((await send(submission('request_cpus = 5 - ProcId\nqueue 10'))).status, 400);
+  assert.equal((await send({ ...submission('queue x from list'), rows: {} })).status, 400);
+  assert.equal([...c.state.items.keys()].filter((k) => k.startsWith('condor/')).length, 0);
+});
+
+test('what matches nothing waits with its reason, starts when a type comes that does, and natives beside it run', async () => {
+  const c = condorCluster(['n0']);
+  await ask(c, 'n0', 'POST', '/condor/clusters', submission('requirements = Memory > 60000\nqueue 2'));
+  assert.ok(await c.submit('n0', job('wk-native')));
+  assert.ok(await c.clock.until(() => c.workers.some((w) => w.on('wk-native/0')), 20_000));
+  await c.clock.advance(20_000);
+  const page = await ask(c, 'n0', 'GET', '/condor/clusters/1/procs?from=0');
+  assert.deepEqual(
+    page.body.procs.map((p: { state: string; reason: string }) => [p.state, p.reason]),
+    [0, 1].map(() => ['idle', 'Memory > 60000: largest is 32768 on 2 types; the other clauses match 8']),
+  );
+  assert.equal(
+    c.workers.some((w) => w.started.some((t) => t.startsWith('wk-condor'))),
+    false,
+  );
+  c.moreTypes.push(['c64', 64, 0]);
+  c.addWorker('c64', 'a');
+  assert.ok(await c.clock.until(() => c.workers.at(-1)!.on('wk-condor-1-1/0'), 60_000));
+});
+
+test('hold stops what runs and release starts it anew; a cluster removed while it is expanded leaves nothing', async () => {
+  const c = condorCluster(['n0', 'n1']);
+  await ask(
+    c,
+    'n0',
+    'POST',
+    '/condor/clusters',
+    submission('request_cpus = 1\n+Small = ProcId < 1\nqueue 3'),
+  );
+  assert.ok(await c.clock.until(() => c.workers.some((w) => w.on('wk-condor-1-0/0')), 30_000));
+  const held = await ask(c, 'n1', 'POST', '/condor/clusters/1/hold', {
+    constraint: 'Small',
+    reason: 'look first',
+  });
+  assert.deepEqual(held, { status: 200, body: { changed: 1 } });
+  assert.ok(await c.clock.until(() => !c.workers.some((w) => w.on('wk-condor-1-0/0')), 15_000));
+  const states = async () =>
+    (await ask(c, 'n0', 'GET', '/condor/clusters/1/procs?from=0')).body.procs.map(
+      (p: { state: string }) => p.state,
+    );
+  assert.equal((await states())[0], 'held');
+  // Whoever expands next knows of it.
+  c.killNode('n0');
+  c.startNode('n0');
+  await c.clock.advance(20_000);
+  assert.equal(
+    c.workers.some((w) => w.on('wk-condor-1-0/0')),
+    false,
+  );
+  assert.equal((await states())[0], 'held');
+  assert.equal((await ask(c, 'n0', 'POST', '/condor/clusters/1/release', { procs: [0] })).body.changed, 1);
+  assert.ok(await c.clock.until(() => c.workers.some((w) => w.on('wk-condor-1-0-r1/0')), 30_000));
+
+  await ask(c, 'n0', 'POST', '/condor/clusters', submission('request_cpus = 1\nqueue 3000', 1));
+  const accepted = () => [...c.state.items.keys()].filter((k) => k.startsWith('act/wk-condor-2-')).length;
+  assert.ok(await c.clock.until(() => accepted() > 70, 60_000));
+  assert.equal((await ask(c, 'n1', 'POST', '/condor/clusters/2/remove', {})).status, 200);
+  c.killNode('n0');
+  c.startNode('n0');
+  const over = () => (c.state.value('condor/c/00000002') as { state: string }).state === 'over';
+  assert.ok(await c.clock.until(over, 300_000));
+  assert.equal(accepted(), 0);
+  assert.equal(
+    c.workers.some((w) => w.attempts.some((a) => a.job.startsWith('wk-condor-2-') && a.state !== 'exited')),
+    false,
+  );
+  assert.deepEqual(
+    [...c.state.items.keys()].filter((k) => k.startsWith('condor/p/submission-1')),
+    [],
+  );
+});
+
+test('no submit file is taken while one controller does not serve them', async () => {
+  const c = new FakeCluster(['n0', 'n1']);
+  c.condor = true;
+  c.startNode('n0');
+  c.condor = false;
+  c.startNode('n1');
+  await c.clock.advance(5000);
+  const request = c.request('POST', '/condor/clusters', submission('queue'));
+  const reply = await c.answered(c.nodes.get('n0')!.api.handle(request));
+  assert.deepEqual([reply.status, reply.headers?.['Retry-After']], [503, '1']);
+});
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -1,6 +1,8 @@
 import pino from 'pino';
 import { Api } from '../../src/api/routes.js';
 import { Cloud } from '../../src/cloud/cloud.js';
+import { ClassAdMatcher } from '../../src/condor/matcher.js';
+import { CondorService } from '../../src/condor/service.js';
 import type { Settings } from '../../src/config/settings.js';
 import { CloudService } from '../../src/emulator/cloud.js';
 import { StateService } from '../../src/emulator/state.js';
@@ -56,7 +58,10 @@
   readonly net = new FakeNet(this.clock);
   readonly state = new StateService(this.clock);
   readonly cloud = new CloudService(this.clock, {
-    types: () => [this.type('c8', 8, 0), this.type('g8', 8, 2)],
+    types: () =>
+      [['c8', 8, 0] as const, ['g8', 8, 2] as const, ...this.moreTypes].map(([n, c, g]) =>
+        this.type(n, c, g),
+      ),
     rent: (r) => this.rent(r),
     release: (ids) => this.release(ids),
     list: () =>
@@ -73,6 +78,8 @@
   readonly cutFromWorkers = new Set<string>();
   capacity = false;
   stateRates = { rps: 600, writeRps: 300 };
+  /** Types that come beside the usual two: name, CPUs, GPUs. */
+  readonly moreTypes: [string, number, number][] = [];
   /** What a GPU adds to the price of a machine. */
   cardPrice = 0;
   /** Machines that the list still shows although they are gone. */
@@ -83,8 +90,8 @@
   readonly lostMessages = new Set<string>();
   readonly sent: { from: string; to: string; op: string }[] = [];
   objectives: Settings['objectives'] = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }];
-  /** What understands match expressions on each node; none by default. */
-  matcher: (names: Names) => World['matcher'] = () => null;
+  /** Nodes serve HTCondor submit files. */
+  condor = false;
   private runs = 0;
   private made = 0;
 
@@ -147,15 +154,21 @@
       names,
       catalog: new Catalog(names),
       goneMachines: new Map(),
-      matcher: this.matcher(names),
+      matcher: null,
       run: `${name}-${++this.runs}`,
     };
+    if (this.condor) world.matcher = new ClassAdMatcher(names, world.catalog);
     world.store = new StateStore(clock, world.http, STATE, { ...this.stateRates, nodes: 1 });
     world.cloud = new Cloud(clock, world.http, CLOUD, 30, 1);
     const node = new ControllerNode(world);
     const api = new Api(world, node);
     const handle = api.handle.bind(api);
     api.handle = (request) => awake(request).then(handle);
+    const condor = this.condor ? new CondorService(world, node, { team: 'red', depot: null }) : null;
+    if (condor) {
+      api.mounts.set('/condor/', (request) => condor.handle(request));
+      condor.start();
+    }
     const running: Running = { node, api, cut: false, stopped, still };
     this.nodes.set(name, running);
     void node.start(this.mesh(name, running));
@@ -215,12 +228,19 @@
 
   private mesh(from: string, running: Running): Mesh {
     return {
-      ask: async (to, op, args) => {
+      ask: async (to, op, args, timeoutMs) => {
         const target = this.nodes.get(to);
         this.sent.push({ from, to, op });
         if (!target || target.cut || running.cut || target.still.value) throw new Error('not connected');
         if (this.lostMessages.has(op)) throw new Error('no answer');
-        return target.node.serve(op, JSON.parse(JSON.stringify(args)));
+        // A node that is killed meanwhile never answers.
+        return new Promise((resolve, reject) => {
+          const timer = this.clock.after(timeoutMs, () => reject(new Error('no answer')));
+          target.node
+            .serve(op, JSON.parse(JSON.stringify(args)))
+            .then(resolve, reject)
+            .finally(() => timer.cancel());
+        });
       },
       tell: (to, op, args) => {
         const target = this.nodes.get(to);
