--- a/src/emulator/random.ts
+++ b/src/emulator/random.ts
@@ -7,6 +7,8 @@
 
   constructor(seed: number) {
     this.generator = xoroshiro128plus(seed);
+    // Small seeds begin much alike.
+    for (let i = 0; i < 64; i++) this.next();
   }
 
   /** From 0 up to 1. */
--- a/src/emulator/tasks.ts
+++ b/src/emulator/tasks.ts
@@ -75,6 +75,8 @@
   readonly history: TaskEvent[] = [];
   /** Machines on which every task fails. */
   readonly faulty = new Set<string>();
+  /** Tasks that ran to their end more than once. */
+  twice = 0;
   private readonly jobs = new Map<string, JobRun>();
   private readonly runs = new Map<Attempt, Run>();
   private readonly gangs = new Map<string, Gang>();
@@ -224,6 +226,7 @@
     worker.move(a, 'running');
     if (job.spec.kind === 'service') return;
     this.later(run, ((job.seconds - run.base) / speed) * 1000, () => {
+      if (job.done.has(a.index)) this.twice++;
       job.done.add(a.index);
       this.leave(run, 'done', false);
     });
@@ -281,6 +284,7 @@
   }
 
   private complete(gang: Gang, job: JobRun): void {
+    if (job.done.size > 0) this.twice++;
     for (let i = 0; i < job.spec.tasks; i++) job.done.add(i);
     for (const m of [...gang.members.values()]) this.leave(m, 'done', false);
   }
--- /dev/null
+++ b/src/load/play.ts
@@ -0,0 +1,355 @@
+// In this room: users and faults of a scenario on an emulated cluster, what becomes of them, and the rules they are held to.
+import { build, type Histogram } from 'hdr-histogram-js';
+import { Rejected, SpartrayClient, Unreachable } from '../client/client.js';
+import { type Clock, pause } from '../clock/clock.js';
+import type { LocalCluster } from '../emulator/local.js';
+import type { Platform } from '../emulator/platform.js';
+import { Random } from '../emulator/random.js';
+import { HttpClient } from '../http/client.js';
+import { type JobSpec, PRIORITY } from '../wire/users.js';
+import { checkHistory, type UserEvent, type Violation } from './check.js';
+import type { Fault, JobClass, Scenario } from './scenario.js';
+
+export interface Spread {
+  count: number;
+  p50: number;
+  p90: number;
+  p99: number;
+  max: number;
+}
+
+export interface ClassReport {
+  name: string;
+  submitted: number;
+  accepted: number;
+  refused: number;
+  done: number;
+  cancelled: number;
+  /** Accepted, and neither done nor cancelled in the end. */
+  lost: number;
+  submitMs: Spread;
+  startS: Spread;
+  finishS: Spread;
+}
+
+export interface LoadReport {
+  scenario: string;
+  seed: number;
+  speed: number;
+  durationS: number;
+  classes: ClassReport[];
+  /** Tasks done more than once. */
+  twice: number;
+  violations: Violation[];
+  spent: number;
+  /** Every second or so: seconds since the beginning, machines up, tasks on machines, jobs not over. */
+  series: { at: number; machines: number; tasks: number; open: number }[];
+  faults: { at: number; what: string }[];
+}
+
+interface Tally {
+  submitted: number;
+  accepted: number;
+  refused: number;
+  done: number;
+  cancelled: number;
+  submit: Histogram;
+  start: Histogram;
+  finish: Histogram;
+}
+
+const POLL_MS = 5000;
+const SERIES_MS = 1000;
+const STRANGE_MS = 7000;
+const PRIORITIES = {
+  low: PRIORITY.low,
+  standard: PRIORITY.normal,
+  urgent: PRIORITY.high,
+  production: PRIORITY.production,
+};
+const KINDS = { sweep: 'array', ensemble: 'gang', standing: 'service' } as const;
+
+function histogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 3_600_000,
+    numberOfSignificantValueDigits: 3,
+  });
+}
+
+function spread(h: Histogram, unit: number): Spread {
+  const at = (p: number) => h.getValueAtPercentile(p) / unit;
+  return { count: h.totalCount, p50: at(50), p90: at(90), p99: at(99), max: h.maxValue / unit };
+}
+
+/** Users and faults of a scenario on a cluster on this machine. */
+export class Load {
+  private readonly random: Random;
+  private readonly clock: Clock;
+  private readonly http: HttpClient;
+  private readonly client: SpartrayClient;
+  private readonly told: UserEvent[] = [];
+  private readonly jobs = new Map<string, JobSpec>();
+  private readonly classOf = new Map<string, JobClass>();
+  private readonly submittedAt = new Map<string, number>();
+  private readonly tallies = new Map<string, Tally>();
+  private readonly series: LoadReport['series'] = [];
+  private readonly faults: LoadReport['faults'] = [];
+  private readonly users = new Set<Promise<void>>();
+  private begun = 0;
+  private made = 0;
+  private over = false;
+
+  constructor(
+    private readonly cluster: LocalCluster,
+    private readonly platform: Platform,
+    private readonly scenario: Scenario,
+  ) {
+    this.clock = cluster.clock;
+    this.random = new Random(scenario.seed);
+    this.http = new HttpClient(this.clock, { maxSockets: 400, bodyBytes: 1024 * 1024 });
+    this.client = new SpartrayClient(this.clock, this.http, {
+      servers: [cluster.users],
+      depot: cluster.depot,
+    });
+    for (const c of scenario.classes) {
+      const none = { submitted: 0, accepted: 0, refused: 0, done: 0, cancelled: 0 };
+      this.tallies.set(c.name, { ...none, submit: histogram(), start: histogram(), finish: histogram() });
+    }
+  }
+
+  /** Plays the scenario; `progress` is told how it goes about once a second. */
+  async run(name: string, speed: number, progress: (line: string) => void): Promise<LoadReport> {
+    const { duration_s, drain_s, seed, classes, faults } = this.scenario;
+    this.begun = this.clock.now();
+    for (const f of faults) this.clock.after(f.at_s * 1000, () => this.fault(f));
+    void this.watch(progress);
+    void this.strangers();
+    await Promise.all(classes.map((c) => this.arrivals(c)));
+    const until = this.begun + (duration_s + drain_s) * 1000;
+    while (this.users.size > 0 && this.clock.now() < until) await pause(this.clock, 500);
+    this.over = true;
+    const durationS = (this.clock.now() - this.begun) / 1000;
+    this.http.close();
+    return this.report(name, seed, speed, durationS);
+  }
+
+  private async arrivals(c: JobClass): Promise<void> {
+    for (let i = 0; i < c.at_start; i++) this.arrive(c);
+    if (c.a_minute === 0) return;
+    const random = new Random(this.scenario.seed * 31 + this.scenario.classes.indexOf(c));
+    let at = this.begun;
+    for (;;) {
+      at += random.gap(60_000 / c.a_minute);
+      if (at > this.begun + this.scenario.duration_s * 1000) return;
+      if (at > this.clock.now()) await pause(this.clock, at - this.clock.now());
+      this.arrive(c);
+    }
+  }
+
+  private arrive(c: JobClass): void {
+    const user = this.user(c).catch((error) => {
+      if (!(error instanceof Unreachable)) throw error;
+    });
+    this.users.add(user);
+    void user.finally(() => this.users.delete(user));
+  }
+
+  private async user(c: JobClass): Promise<void> {
+    const spec = this.job(c);
+    const t = this.tallies.get(c.name)!;
+    const runS = c.run_s * this.random.between(0.7, 1.4);
+    const cancelAfter = this.random.chance(c.cancelled) ? this.random.between(0, 60_000) : null;
+    this.jobs.set(spec.id, spec);
+    this.classOf.set(spec.id, c);
+    const begun = this.clock.now();
+    this.submittedAt.set(spec.id, begun);
+    this.note(spec.id, 'submitted');
+    t.submitted++;
+    try {
+      await this.client.submit(spec, { runS });
+    } catch (error) {
+      t.refused++;
+      if (error instanceof Rejected) this.note(spec.id, 'refused');
+      if (!(error instanceof Rejected || error instanceof Unreachable)) throw error;
+      return;
+    }
+    t.accepted++;
+    t.submit.recordValue(Math.max(1, Math.round(this.clock.now() - begun)));
+    this.note(spec.id, 'accepted');
+    if (cancelAfter !== null)
+      this.clock.after(cancelAfter, () => void this.cancel(spec.id).catch(() => undefined));
+    await this.follow(spec, t, begun);
+  }
+
+  private async follow(spec: JobSpec, t: Tally, begun: number): Promise<void> {
+    while (!this.over) {
+      await pause(this.clock, POLL_MS * this.random.between(0.8, 1.2));
+      const view = await this.client.poll(spec.id);
+      if (view === undefined) continue;
+      if (view === null) this.note(spec.id, 'unknown');
+      else {
+        this.told.push({ at: this.clock.now(), job: spec.id, kind: 'told', status: view.status });
+        if (view.status === 'done') {
+          t.done++;
+          t.finish.recordValue(Math.max(1, Math.round(this.clock.now() - begun)));
+        }
+        if (view.status === 'cancelled') t.cancelled++;
+        if (view.status === 'done' || view.status === 'cancelled') return;
+      }
+    }
+  }
+
+  private async cancel(id: string): Promise<void> {
+    this.note(id, 'cancel asked');
+    const view = await this.client.cancel(id);
+    if (view.status === 'cancelled') this.note(id, 'cancelled');
+  }
+
+  /** Somebody who asks for jobs that nobody has submitted. */
+  private async strangers(): Promise<void> {
+    for (let i = 0; !this.over; i++) {
+      await pause(this.clock, STRANGE_MS);
+      const id = `wk-nobody-${i}`;
+      const view = await this.client.poll(id).catch(() => undefined);
+      if (view) this.told.push({ at: this.clock.now(), job: id, kind: 'told', status: view.status });
+    }
+  }
+
+  private job(c: JobClass): JobSpec {
+    const n = ++this.made;
+    const estimateS = c.run_s * this.random.between(0.6, 1.5);
+    return {
+      id: `wk-load-${this.scenario.seed}-${String(n).padStart(6, '0')}`,
+      class: c.name,
+      team: c.team,
+      kind: KINDS[c.shape],
+      priority: PRIORITIES[c.urgency],
+      tasks: this.random.pick(c.pieces),
+      cpus: c.cpus,
+      gpus: c.gpus,
+      memoryGb: c.memory_gb,
+      types: null,
+      zone: null,
+      oneZone: c.one_zone,
+      spread: c.spread,
+      spot: c.spot,
+      image: `${c.name}-${n % 4}`,
+      imageGb: c.image_gb,
+      estimateS,
+      checkpointS: c.save_every_s,
+      saveS: c.saving_s,
+      deadlineS: c.due === undefined ? null : c.due * estimateS,
+      after: [],
+    };
+  }
+
+  private note(job: string, kind: UserEvent['kind']): void {
+    this.told.push({ at: this.clock.now(), job, kind });
+  }
+
+  private fault(f: Fault): void {
+    const { state, cloud, machines, market, tasks, controllers } = this.cluster;
+    const end = (undo: () => void) => this.clock.after(f.for_s * 1000, undo);
+    const some = [...machines.keys()].sort().slice(0, f.count);
+    const named = { kill: ` ${f.controller}`, state_refuses: ` ${f.controller}` } as Record<string, string>;
+    this.faults.push({ at: f.at_s, what: `${f.what}${named[f.what] ?? ''}` });
+    if (f.what === 'kill') this.cluster.kill(f.controller);
+    if (f.what === 'kill_all') for (const i of controllers.keys()) this.cluster.kill(i);
+    if (f.what === 'state_down') {
+      state.down = true;
+      end(() => state.restore());
+    }
+    if (f.what === 'state_refuses') {
+      const node = controllers[f.controller]?.node ?? '';
+      state.refusing.add(node);
+      end(() => state.refusing.delete(node));
+    }
+    if (f.what === 'cloud_down') {
+      cloud.down = true;
+      end(() => {
+        cloud.down = false;
+      });
+    }
+    if (f.what === 'cut') {
+      const reporters = some.map((id) => machines.get(id)!.reporter);
+      for (const r of reporters) r.cut = true;
+      end(() => {
+        for (const r of reporters) r.cut = false;
+      });
+    }
+    if (f.what === 'die') for (const id of some) market.take(id);
+    if (f.what === 'faulty') for (const id of some) tasks.faulty.add(id);
+    if (f.what === 'reclaim')
+      for (const m of [...market.machines.values()].filter((x) => x.spot).slice(0, f.count))
+        market.reclaim(m.id, 0);
+  }
+
+  private async watch(progress: (line: string) => void): Promise<void> {
+    while (!this.over) {
+      const at = Math.round((this.clock.now() - this.begun) / 1000);
+      let tasks = 0;
+      for (const m of this.cluster.machines.values())
+        for (const a of m.worker.attempts) if (a.state !== 'exited' && a.state !== 'fetching') tasks++;
+      const machines = this.cluster.machines.size;
+      this.series.push({ at, machines, tasks, open: this.users.size });
+      const sum = (f: (t: Tally) => number) => [...this.tallies.values()].reduce((n, t) => n + f(t), 0);
+      progress(
+        `${at} s: ${sum((t) => t.accepted)} accepted, ${sum((t) => t.done)} done, ${this.users.size} open, ${tasks} tasks on ${machines} machines`,
+      );
+      await pause(this.clock, SERIES_MS);
+    }
+  }
+
+  private report(scenario: string, seed: number, speed: number, durationS: number): LoadReport {
+    const history = this.cluster.tasks.history;
+    this.recordStarts();
+    const violations = checkHistory(history, this.told, this.jobs, {
+      teams: this.platform.teams.map((t) => ({ name: t.name, cpusMax: t.cpus_max, gpusMax: t.gpus_max })),
+      cancelS: this.platform.workers.cancel_s,
+    });
+    return {
+      scenario,
+      seed,
+      speed,
+      durationS,
+      classes: [...this.tallies].map(([name, t]) => ({
+        name,
+        submitted: t.submitted,
+        accepted: t.accepted,
+        refused: t.refused,
+        done: t.done,
+        cancelled: t.cancelled,
+        lost: t.accepted - t.done - t.cancelled,
+        submitMs: spread(t.submit, 1),
+        startS: spread(t.start, 1000),
+        finishS: spread(t.finish, 1000),
+      })),
+      twice: this.cluster.tasks.twice,
+      violations: violations.map((x) => ({ ...x, at: Math.round((x.at - this.begun) / 100) / 10 })),
+      spent: this.cluster.market.charge(),
+      series: this.series,
+      faults: this.faults,
+    };
+  }
+
+  /** From the first attempt to submit to the start of each task; of a gang, to that of its last one. */
+  private recordStarts(): void {
+    const first = new Map<string, Map<number, number>>();
+    for (const e of this.cluster.tasks.history) {
+      if (e.kind !== 'on') continue;
+      const of = first.get(e.job) ?? new Map<number, number>();
+      first.set(e.job, of);
+      if (!of.has(e.index)) of.set(e.index, e.at);
+    }
+    for (const [id, of] of first) {
+      const c = this.classOf.get(id);
+      const begun = this.submittedAt.get(id);
+      if (!c || begun === undefined) continue;
+      const times = [...of.values()];
+      const starts = c.shape === 'ensemble' ? [Math.max(...times)] : times;
+      for (const at of starts)
+        this.tallies.get(c.name)!.start.recordValue(Math.max(1, Math.round(at - begun)));
+    }
+  }
+}
--- a/tests/rooms.test.ts
+++ b/tests/rooms.test.ts
@@ -13,6 +13,7 @@
   'http',
   'client',
   'emulator',
+  'load',
   'peer',
   'state',
   'cloud',
