--- /dev/null
+++ b/tests/emulator.test.ts
@@ -0,0 +1,227 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Market } from '../src/emulator/market.js';
+import { Random } from '../src/emulator/random.js';
+import { StateService } from '../src/emulator/state.js';
+import type { TaskEvent } from '../src/emulator/tasks.js';
+import { Tasks } from '../src/emulator/tasks.js';
+import { Worker } from '../src/emulator/worker.js';
+import { checkHistory, type UserEvent } from '../src/load/check.js';
+import { type JobSpec, readJob } from '../src/wire/users.js';
+import { FakeClock } from './support/clock.js';
+import { job } from './support/cluster.js';
+
+const spec = (id: string, change: object = {}) => readJob(job(id, change)) as JobSpec;
+const TYPE = {
+  name: 'c8',
+  cpus: 8,
+  gpus: 0,
+  memoryGb: 32,
+  cacheGb: 10,
+  fetchGbPerS: 1,
+  price: 1,
+  spotPrice: 0.5,
+  bootS: 30,
+  zones: ['a'],
+};
+
+function site(n: number) {
+  const clock = new FakeClock();
+  const tasks = new Tasks(clock, new Random(1), new Map([['c8', TYPE]]), { gangWaitS: 40, gangPeerS: 5 });
+  const workers = Array.from({ length: n }, (_, i) => {
+    const place = { id: `m-${i}`, addr: `a:${i}`, type: 'c8', zone: 'a', spot: false };
+    return new Worker(clock, place, 1000, tasks);
+  });
+  const order = (w: number, verb: string, piece: string, attempt: number, more: object = {}) =>
+    workers[w]!.serve('POST', '/do', {
+      baton: 1,
+      shift: 1,
+      orders: [{ verb, piece, try: attempt, ...more }],
+    });
+  const state = (w: number, task: string) => {
+    const a = workers[w]!.attempts.filter((x) => x.task === task).at(-1);
+    return a ? `${a.state}${a.cause ? ` ${a.cause}` : ''}${a.saved ? ' saved' : ''}` : 'none';
+  };
+  return { clock, tasks, workers, order, state };
+}
+
+test('emulated tasks fetch, run, save where they are told in time, and go on from what was saved', async () => {
+  const s = site(2);
+  s.tasks.upload({ spec: spec('wk-1', { pieces: 2 }), runS: 60, fails: false });
+  s.order(0, 'run', 'wk-1/0', 1);
+  assert.equal(s.state(0, 'wk-1/0'), 'fetching');
+  await s.clock.advance(2000);
+  assert.equal(s.state(0, 'wk-1/0'), 'running');
+  s.order(0, 'run', 'wk-1/0', 2);
+  assert.equal(s.state(0, 'wk-1/0'), 'exited busy');
+  s.order(0, 'run', 'wk-9/0', 1);
+  assert.equal(s.state(0, 'wk-9/0'), 'exited unknown');
+  s.order(0, 'run', 'wk-1/1', 1);
+  await s.clock.advance(10_000);
+  s.order(0, 'kill', 'wk-1/0', 1, { windDownS: 2 });
+  assert.equal(s.state(0, 'wk-1/0'), 'exited busy');
+  await s.clock.advance(2100);
+  assert.equal(s.workers[0]!.attempts.find((a) => a.attempt === 1 && a.index === 0)?.saved, true);
+  s.order(1, 'run', 'wk-1/0', 3);
+  await s.clock.advance(45_000);
+  assert.equal(s.state(1, 'wk-1/0'), 'running');
+  await s.clock.advance(12_000);
+  assert.equal(s.state(1, 'wk-1/0'), 'exited done', 'the rest of 60 s');
+  s.tasks.upload({ spec: spec('wk-2', { shape: 'standing' }), runS: null, fails: false });
+  s.order(0, 'run', 'wk-2/0', 1);
+  await s.clock.advance(100_000);
+  assert.equal(s.state(0, 'wk-2/0'), 'running', 'a service has no end');
+  s.workers[0]!.die();
+  assert.equal(s.tasks.history.at(-1)?.cause, 'lost');
+  assert.equal(s.tasks.twice, 0);
+});
+
+test('emulated gangs start together, fall with one of them, and save only when all are told in time', async () => {
+  const s = site(3);
+  const gang = { shape: 'ensemble', pieces: 3, saveEveryS: 10, savingS: 2 };
+  s.tasks.upload({ spec: spec('wk-1', gang), runS: 100, fails: false });
+  const start = (attempt: number) => {
+    for (const w of [0, 1, 2]) s.order(w, 'run', `wk-1/${w}`, attempt);
+  };
+  const states = () => [0, 1, 2].map((w) => s.state(w, `wk-1/${w}`));
+  s.order(0, 'run', 'wk-1/0', 1);
+  await s.clock.advance(43_000);
+  assert.equal(s.state(0, 'wk-1/0'), 'exited alone');
+  start(2);
+  await s.clock.advance(20_000);
+  assert.deepEqual(states(), ['running', 'running', 'running']);
+  s.workers[2]!.die();
+  await s.clock.advance(5100);
+  assert.deepEqual(states().slice(0, 2), ['exited peers', 'exited peers']);
+  start(3);
+  await s.clock.advance(15_000);
+  for (const w of [0, 1, 2]) s.order(w, 'kill', `wk-1/${w}`, 3, { windDownS: 2 });
+  await s.clock.advance(2100);
+  assert.deepEqual(states(), Array(3).fill('exited stopped saved'));
+  start(4);
+  await s.clock.advance(5000);
+  s.order(0, 'kill', 'wk-1/0', 4, { windDownS: 2 });
+  await s.clock.advance(5100);
+  assert.deepEqual(states(), ['exited stopped', 'exited peers', 'exited peers'], 'two were not told');
+  start(5);
+  await s.clock.advance(85_000);
+  assert.deepEqual(states(), Array(3).fill('exited done'), 'from what was saved, not from the beginning');
+});
+
+test('the emulated cloud lists late, boots in its time, and takes spot machines back', async () => {
+  const clock = new FakeClock();
+  const up: string[] = [];
+  const gone: string[] = [];
+  const market = new Market(
+    clock,
+    new Random(3),
+    {
+      types: [TYPE],
+      capacity: [{ type: 'c8', zone: 'a', count: 2, spot: 1, up: 0 }],
+      listLagS: 5,
+      bootFail: 0,
+      spotPerHour: 0,
+      noticeS: 20,
+    },
+    {
+      address: (n) => `a:${n}`,
+      up: (p) => up.push(p.id),
+      notice: () => undefined,
+      gone: (id) => gone.push(id),
+    },
+  );
+  const rent = (spot: boolean, count: number) =>
+    market.rent({ request: 'r', type: 'c8', zone: 'a', spot, count });
+  assert.equal(rent(false, 5).length, 2);
+  assert.equal(rent(false, 1).length, 0, 'no capacity');
+  const [cheap] = rent(true, 1);
+  assert.equal(market.list().length, 0, 'not listed yet');
+  await clock.advance(140_000);
+  assert.equal(up.length, 3);
+  assert.deepEqual(
+    market.list().map((m) => m.state),
+    ['running', 'running', 'running'],
+  );
+  market.reclaim(cheap!, 10_000);
+  await clock.advance(10_100);
+  assert.deepEqual(gone, [cheap]);
+  assert.equal(market.list().length, 3, 'still listed');
+  await clock.advance(12_000);
+  assert.equal(market.list().length, 2);
+  assert.ok(Math.abs(market.charge() - (2 * 162.1 + 0.5 * 150.1) / 3600) < 0.01);
+});
+
+test('the emulated state service forgets old changes with 410, and refuses one caller alone', async () => {
+  const clock = new FakeClock();
+  const state = new StateService(clock);
+  const put = (n: number) => state.serve('POST', '/txn', { when: [], writes: [{ set: `k/${n}`, value: n }] });
+  for (let i = 0; i < 12_000; i++) put(i);
+  const old = await state.serve('GET', '/watch?under=k/&since=5&waitMs=10', null);
+  assert.equal(old.status, 410);
+  state.refusing.add('n0');
+  assert.equal((await state.serve('GET', '/keys/k/1', null, 'n0')).status, 503);
+  assert.equal((await state.serve('GET', '/keys/k/1', null, 'n1')).status, 200);
+  state.limits.requestsPerSecond = 5;
+  const statuses = [];
+  for (let i = 0; i < 7; i++) statuses.push((await state.serve('GET', '/keys/k/1', null)).status);
+  assert.deepEqual(statuses, [200, 200, 200, 200, 200, 429, 429]);
+});
+
+// A checker that catches nothing would call every run clean: each rule is broken once.
+test('the checker names every rule that a history breaks, and none that it keeps', () => {
+  const jobs = new Map(
+    [
+      spec('wk-a', { pieces: 2, cpus: 8 }),
+      spec('wk-b', { waitsOn: ['wk-a'] }),
+      spec('wk-c', { yard: 'b', loaner: false }),
+      spec('wk-d', { oneZone: true, pieces: 2, cpus: 1 }),
+    ].map((s) => [s.id, s]),
+  );
+  const limits = { teams: [{ name: 'red', cpusMax: 16, gpusMax: 0 }], cancelS: 45 };
+  const on = (at: number, job: string, index: number, machine = 'm-1', more: object = {}): TaskEvent => {
+    return { at, kind: 'on', machine, type: 'c8', zone: 'b', spot: false, job, index, attempt: 1, ...more };
+  };
+  const off = (
+    at: number,
+    job: string,
+    index: number,
+    machine = 'm-1',
+    cause: TaskEvent['cause'] = 'done',
+  ): TaskEvent => {
+    return { ...on(at, job, index, machine), kind: 'off', cause: cause! };
+  };
+  const told = (at: number, id: string, status: UserEvent['status']): UserEvent => ({
+    at,
+    job: id,
+    kind: 'told',
+    status,
+  });
+  const did = (at: number, id: string, kind: UserEvent['kind']): UserEvent => ({ at, job: id, kind });
+  const rules = (tasks: TaskEvent[], users: UserEvent[] = []) => [
+    ...new Set(checkHistory(tasks, users, jobs, limits).map((v) => v.rule)),
+  ];
+  const clean = [
+    on(0, 'wk-a', 0),
+    on(0, 'wk-a', 1, 'm-2'),
+    off(9000, 'wk-a', 0),
+    off(9000, 'wk-a', 1, 'm-2'),
+  ];
+  const after = [on(9500, 'wk-b', 0), off(9900, 'wk-b', 0)];
+  assert.deepEqual(rules([...clean, ...after], [did(0, 'wk-a', 'accepted'), told(9100, 'wk-a', 'done')]), []);
+  assert.deepEqual(rules([on(0, 'wk-a', 0), on(5, 'wk-a', 0, 'm-2')]), ['ran_twice']);
+  assert.deepEqual(rules([...clean.slice(0, 2), on(1, 'wk-c', 0)]), ['quota']);
+  assert.deepEqual(rules([on(0, 'wk-c', 0, 'm-1', { zone: 'a' })]), ['wrong_place']);
+  assert.deepEqual(rules([on(0, 'wk-c', 0, 'm-1', { spot: true })]), ['wrong_place']);
+  assert.deepEqual(rules([on(0, 'wk-d', 0), on(1, 'wk-d', 1, 'm-2', { zone: 'a' })]), ['wrong_place']);
+  assert.deepEqual(rules([on(0, 'wk-b', 0)]), ['too_early']);
+  const cancel = [did(0, 'wk-a', 'cancel asked'), did(10, 'wk-a', 'cancelled')];
+  assert.deepEqual(rules([on(0, 'wk-a', 0), off(46_000, 'wk-a', 0)], cancel), ['ran_cancelled']);
+  assert.deepEqual(rules([on(0, 'wk-a', 0), off(44_000, 'wk-a', 0)], cancel), []);
+  assert.deepEqual(rules(clean, [did(0, 'wk-a', 'accepted'), did(5, 'wk-a', 'unknown')]), ['forgotten']);
+  assert.deepEqual(rules(clean, [told(5, 'wk-none', 'queued')]), ['invented']);
+  assert.deepEqual(rules(clean, [told(5, 'wk-a', 'done')]), ['not_done']);
+  assert.deepEqual(rules(clean, [told(9100, 'wk-a', 'done'), told(9200, 'wk-a', 'running')]), ['went_back']);
+  assert.deepEqual(rules(clean, [told(9100, 'wk-c', 'cancelled')]), ['went_back']);
+  assert.deepEqual(rules(clean, [...cancel, told(50_000, 'wk-b', 'queued')]), ['orphaned']);
+  assert.deepEqual(rules([], []), ['nothing_ran']);
+});
