--- a/src/condor/matcher.ts
+++ b/src/condor/matcher.ts
@@ -22,6 +22,12 @@
 const NOTHING = new Ad();
 const MACHINES_KEPT = 4000;
 
+const ZONES = 4096;
+
+function kindKey(type: number, zone: number, spot: boolean): number {
+  return (type * ZONES + zone) * 2 + (spot ? 1 : 0);
+}
+
 /** What a kind of machine is to match expressions. Amounts are in their language's units: MiB of memory, KiB of disk. */
 export function kindAd(t: MachineType, zone: string, spot: boolean): Ad {
   return new Ad()
@@ -46,7 +52,7 @@
 /** Compiles match expressions; the same text is compiled once, and asked once of each kind of machine. */
 export class ClassAdMatcher implements Matcher {
   private readonly compiled = new Map<string, Match>();
-  private readonly kinds = new Map<string, Ad>();
+  private readonly kinds = new Map<number, Ad>();
   private version = -1;
   /** Expressions evaluated so far. */
   asked = 0;
@@ -71,13 +77,13 @@
     const names = namesAsked(requirements, NOTHING);
     const single = [...names].some((n) => OF_MACHINE.has(n));
     const moving = [...names].some((n) => CHANGING.has(n));
-    const answers = new Map<string, boolean>();
+    const answers = new Map<number, boolean>();
     let asOf = -1;
     const kind = (type: number, zone: number, spot: boolean): boolean => {
       // A kind may yet take the job when only its machines can tell.
       if (moving && asOf !== this.catalog.version) answers.clear();
       asOf = this.catalog.version;
-      const key = `${type} ${zone} ${spot}`;
+      const key = kindKey(type, zone, spot);
       let answer = answers.get(key);
       if (answer === undefined) {
         const ad = this.kind(type, zone, spot);
@@ -118,7 +124,7 @@
   private kind(type: number, zone: number, spot: boolean): Ad | null {
     if (this.version !== this.catalog.version) this.kinds.clear();
     this.version = this.catalog.version;
-    const key = `${type} ${zone} ${spot}`;
+    const key = kindKey(type, zone, spot);
     const known = this.kinds.get(key);
     if (known) return known;
     const t = this.catalog.get(type);
