--- a/src/load/play.ts
+++ b/src/load/play.ts
@@ -12,6 +12,7 @@
 
 export interface Spread {
   count: number;
+  mean: number;
   p50: number;
   p90: number;
   p99: number;
@@ -79,7 +80,14 @@
 
 function spread(h: Histogram, unit: number): Spread {
   const at = (p: number) => h.getValueAtPercentile(p) / unit;
-  return { count: h.totalCount, p50: at(50), p90: at(90), p99: at(99), max: h.maxValue / unit };
+  return {
+    count: h.totalCount,
+    mean: h.totalCount > 0 ? h.mean / unit : 0,
+    p50: at(50),
+    p90: at(90),
+    p99: at(99),
+    max: h.maxValue / unit,
+  };
 }
 
 /** Users and faults of a scenario on a cluster on this machine. */
