Begun for overflow: who may run a lent job, checked over all states, and links over mutual TLS

Need: partner clusters, hardest part first. Links: certificates checked, reloaded, refused with the reason; strangers bounded; a tool for trial certificates. In use nowhere yet; what is missing stands in the roadmap.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -4,6 +4,7 @@
 import { Rejected, Unreachable } from '../client/client.js';
 import { JobFileError } from '../client/jobfile.js';
 import { SettingsError } from '../config/settings.js';
+import { addCertsCommand } from './certs.js';
 import { addJobCommands } from './jobs.js';
 import { addLoadCommand } from './load.js';
 import { addLocalCommands } from './local.js';
@@ -28,6 +29,7 @@
 addLocalCommands(command);
 addJobCommands(command);
 addLoadCommand(command);
+addCertsCommand(command);
 // Only then: it needs the language's grammar.
 if (['condor', 'help', '--help', '-h'].includes(process.argv[2] ?? ''))
   (await import('./condor.js')).addCondorCommands(command);
--- a/tests/rooms.test.ts
+++ b/tests/rooms.test.ts
@@ -27,6 +27,9 @@
   'shards',
   'api',
   'condor',
+  'tls',
+  'overflow',
+  'check',
   'cli',
 ];
 const LINES_MOST = 600;
