--- a/tests/condor/beside.ts
+++ b/tests/condor/beside.ts
@@ -37,7 +37,7 @@
 
 async function play(
   seed: number,
-  beside: boolean,
+  way: Way,
 ): Promise<{ p50: number; p90: number; mean: number; submit: number }> {
   const platform = loadPlatform('builtin');
   platform.spot.per_hour = 0;
