max_idle bounds what becomes a job; periodic expressions have a test

Cause: max_idle was listed as used and did nothing, and max_materialize could be passed by a step of four. Both bound each step now. Tests: periodic_hold with its reason, periodic_release to a new start, periodic_remove to the end of a cluster, both limits exactly.

--- a/src/condor/expander.ts
+++ b/src/condor/expander.ts
@@ -128,30 +128,38 @@
 
   private async expand(order: Cluster[]): Promise<void> {
     if (this.world.store.delayMs > BUSY_MS) return;
-    const open = order.filter((c) => c.record.state === 'active' && this.mayGrow(c));
+    const open = order.filter((c) => c.record.state === 'active' && this.room(c) > 0);
     const top = open.filter((c) => c.priority === open[0]!.priority);
     while (this.budget >= 1 && top.length > 0 && this.active) {
       // Clusters of one priority take turns, so that a large one keeps no small one waiting.
       const c = top[this.turn++ % top.length]!;
-      const took = await this.grow(c, Math.min(AT_ONCE, Math.floor(this.budget)));
+      const took = await this.grow(c, Math.min(AT_ONCE, this.room(c), Math.floor(this.budget)));
       this.budget -= took;
-      if (took === 0 || !this.mayGrow(c)) top.splice(top.indexOf(c), 1);
+      if (took === 0 || this.room(c) <= 0) top.splice(top.indexOf(c), 1);
       if (this.clock.now() < this.notBefore) return;
     }
   }
 
-  private mayGrow(c: Cluster): boolean {
-    if (c.cursor >= c.record.total && c.waiting.size === 0) return false;
-    const asked = this.limitOf(c);
+  /** How many more processes may become jobs now. */
+  private room(c: Cluster): number {
+    if (c.cursor >= c.record.total && c.waiting.size === 0) return 0;
     const unlisted = Math.max(0, c.cursor - c.listedCursor);
-    return c.jobs.size + unlisted < asked;
+    const room = this.limitOf(c) - c.jobs.size - unlisted;
+    const most = this.asked(c, 'JobMaterializeMaxIdle');
+    if (most === null) return room;
+    let idle = unlisted;
+    for (const j of c.jobs.values()) if (j.running === 0) idle++;
+    return Math.min(room, most - idle);
   }
 
   private limitOf(c: Cluster): number {
-    const limit = evaluate({ node: 'name', scope: 'my', name: 'JobMaterializeLimit' }, { my: c.proc(0).ad });
-    return typeof limit === 'bigint' && limit > 0n
-      ? Math.min(UNFINISHED_MOST, Number(limit))
-      : UNFINISHED_MOST;
+    return Math.min(UNFINISHED_MOST, this.asked(c, 'JobMaterializeLimit') ?? UNFINISHED_MOST);
+  }
+
+  /** A limit that the cluster's owner asks for; null for none. */
+  private asked(c: Cluster, name: string): number | null {
+    const limit = evaluate({ node: 'name', scope: 'my', name }, { my: c.proc(0).ad });
+    return typeof limit === 'bigint' && limit > 0n ? Number(limit) : null;
   }
 
   /** It is not being removed, and what is known of it here is what counts. */
--- a/tests/condor.test.ts
+++ b/tests/condor.test.ts
@@ -422,3 +422,30 @@
   const reply = await c.answered(c.nodes.get('n0')!.api.handle(request));
   assert.deepEqual([reply.status, reply.headers?.['Retry-After']], [503, '1']);
 });
+
+test('periodic expressions hold, release and remove, and no more processes become jobs than their owner asks for', async () => {
+  const c = condorCluster(['n0'], 1);
+  // A machine with nothing on it would be given back.
+  assert.ok(await c.submit('n0', job('wk-keeps', { shape: 'standing', cpus: 1 })));
+  const idle = '(JobStatus == 1) && (CurrentTime - QDate > 30)';
+  const never = 'requirements = Memory > 60000\n';
+  await ask(c, 'n0', 'POST', '/condor/clusters', submission(`${never}periodic_remove = ${idle}\nqueue 3`));
+  const text = `request_cpus = 1\nperiodic_hold = NumJobStarts == 0 && ${idle.replace('1', '2')}\nperiodic_hold_reason = "looked at"\nperiodic_release = CurrentTime - EnteredCurrentStatus > 50\nqueue`;
+  await ask(c, 'n0', 'POST', '/condor/clusters', submission(text, 1));
+  await ask(c, 'n0', 'POST', '/condor/clusters', submission(`${never}max_materialize = 4\nqueue 50`, 2));
+  await ask(c, 'n0', 'POST', '/condor/clusters', submission(`${never}max_idle = 2\nqueue 50`, 3));
+  const first = async () => (await ask(c, 'n0', 'GET', '/condor/clusters/2/procs?from=0')).body.procs[0];
+  let held = false;
+  for (let i = 0; i < 60 && !held; i++) {
+    await c.clock.advance(2000);
+    held = (await first()).state === 'held';
+  }
+  assert.ok(held);
+  assert.equal((await first()).reason, 'looked at');
+  assert.ok(await c.clock.until(() => !c.workers[0]!.on('wk-condor-2-0/0'), 10_000));
+  assert.ok(await c.clock.until(() => c.workers[0]!.on('wk-condor-2-0-r1/0'), 120_000));
+  assert.equal((c.state.value('condor/over/00000001') as { removed: number }).removed, 3);
+  const jobs = (n: number) =>
+    [...c.state.items.keys()].filter((k) => k.startsWith(`act/wk-condor-${n}-`)).length;
+  assert.deepEqual([jobs(3), jobs(4)], [4, 2]);
+});
