--- a/tests/condor/check.ts
+++ b/tests/condor/check.ts
@@ -195,7 +195,7 @@
 await Promise.all(
   Array.from({ length: AT_ONCE }, async (_, lane) => {
     for (let file = queue.shift(); file; file = queue.shift()) {
-      const said = await check(file, 20_000 + lane * 5000).catch((error) => [
+      const said = await check(file, 20_000 + lane * 3000).catch((error) => [
         `DIFFERENT: ${error instanceof Error ? error.message : error}`,
       ]);
       if (said.some((s) => s.startsWith('DIFFERENT'))) wrong++;
