One piece where two said the same; clusters of thousands are no longer made anew to be counted

Written twice and now once: the shapes of the interface for submit files (src/wire/condor.ts), replies and bodies of HTTP, the walk over kinds of machine, the wire's words for kinds and priorities, job files, the program's version, literals of the grammar. Done twice: when jobs were done in the checker, offers for each process of a page. In the wrong place: to count a cluster or see whether it is over, every process was made again beyond the 2,000 that are kept, only to know whether it is held from its submission; that is now asked only where something sets it.

--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -1,5 +1,6 @@
 // In this room: what users and workers ask over HTTP, and how it is answered.
 import type { Shown } from '../http/admission.js';
+import { bad, later, parseBody, wrongMethod } from '../http/replies.js';
 import type { HttpReply, HttpRequest } from '../http/server.js';
 import { fitCount } from '../plan/profile.js';
 import { Unavailable } from '../shard/answers.js';
@@ -68,7 +69,7 @@
   }
 
   private report(r: HttpRequest): HttpReply {
-    const report = readReport(parse(r.body));
+    const report = readReport(parseBody(r.body));
     if (!report) {
       this.world.log.info('a report that cannot be read');
       return { status: 400, body: { error: 'not a report' } };
@@ -81,7 +82,7 @@
   }
 
   private async submit(r: HttpRequest): Promise<HttpReply> {
-    const body = parse(r.body);
+    const body = parseBody(r.body);
     if (typeof body !== 'object' || body === null || Array.isArray(body)) return bad('not a JSON object');
     const spec = readJob(body);
     if (typeof spec === 'string') return bad(spec);
@@ -140,14 +141,6 @@
   }
 }
 
-function parse(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString('utf8'));
-  } catch {
-    return undefined;
-  }
-}
-
 function decode(text: string): string {
   try {
     return decodeURIComponent(text);
@@ -155,15 +148,3 @@
     return '';
   }
 }
-
-function bad(error: string): HttpReply {
-  return { status: 400, body: { error } };
-}
-
-function later(status: number, seconds: number, error: string): HttpReply {
-  return { status, body: { error }, headers: { 'Retry-After': String(seconds) } };
-}
-
-function wrongMethod(allow: string): HttpReply {
-  return { status: 405, body: { error: 'method not allowed' }, headers: { Allow: allow } };
-}
--- a/src/classad/parser.ts
+++ b/src/classad/parser.ts
@@ -5,6 +5,7 @@
   ErrorValue,
   type Expr,
   LIMITS,
+  type Literal,
   PRECEDENCE,
   UNDEFINED,
   type UnaryOp,
@@ -158,28 +159,18 @@
     return e;
   });
 
+  private literal(type: TokenType, read: (t: IToken) => Literal): Expr {
+    const t = this.CONSUME(type);
+    return this.ACTION((): Expr => ({ node: 'literal', value: read(t) }));
+  }
+
   private readonly primary = this.RULE(
     'primary',
     (): Expr =>
       this.OR([
-        {
-          ALT: () => {
-            const t = this.CONSUME(Integer);
-            return this.ACTION((): Expr => ({ node: 'literal', value: integer(t) }));
-          },
-        },
-        {
-          ALT: () => {
-            const t = this.CONSUME(Real);
-            return this.ACTION((): Expr => ({ node: 'literal', value: real(t.image) }));
-          },
-        },
-        {
-          ALT: () => {
-            const t = this.CONSUME(Text);
-            return this.ACTION((): Expr => ({ node: 'literal', value: unquote(t.image) }));
-          },
-        },
+        { ALT: () => this.literal(Integer, integer) },
+        { ALT: () => this.literal(Real, (t) => real(t.image)) },
+        { ALT: () => this.literal(Text, (t) => unquote(t.image)) },
         {
           ALT: () => {
             this.CONSUME(Open);
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,22 +1,18 @@
 // In this room: the commands that people give: a cluster on one machine, jobs, load.
-import { readFileSync } from 'node:fs';
 import { Command, CommanderError } from 'commander';
 import { Rejected, Unreachable } from '../client/client.js';
 import { JobFileError } from '../client/jobfile.js';
 import { SettingsError } from '../config/settings.js';
+import { version } from '../config/version.js';
 import { addCertsCommand } from './certs.js';
 import { addJobCommands } from './jobs.js';
 import { addLoadCommand } from './load.js';
 import { addLocalCommands } from './local.js';
 import { EXIT, fail } from './output.js';
 
-const { version } = JSON.parse(readFileSync(new URL('../../package.json', import.meta.url), 'utf8')) as {
-  version: string;
-};
-
 const command = new Command('spartray')
   .description('The spartray cluster scheduler: jobs, and a cluster on one machine.')
-  .version(version)
+  .version(version())
   .exitOverride()
   .addHelpText(
     'after',
--- a/src/cli/condor.ts
+++ b/src/cli/condor.ts
@@ -1,13 +1,14 @@
-import { readFileSync, statSync } from 'node:fs';
+import { statSync } from 'node:fs';
 import { userInfo } from 'node:os';
 import { dirname, join, resolve } from 'node:path';
 import { type Command, Option } from 'commander';
 import { globSync } from 'tinyglobby';
-import { type ClusterView, CondorClient, type ProcRow, SubmitRejected } from '../client/condor.js';
-import { JobFileError } from '../client/jobfile.js';
+import { CondorClient, SubmitRejected } from '../client/condor.js';
 import { parseSubmit, type Queue } from '../condor/language.js';
 import { SubmitError } from '../condor/macros.js';
+import type { ClusterView, ProcView } from '../wire/condor.js';
 import { connect, type ServerOptions, serverOptions } from './connect.js';
+import { readText } from './files.js';
 import { EXIT, fail, say, table } from './output.js';
 
 const LETTERS = { idle: 'I', running: 'R', held: 'H', removed: 'X', completed: 'C' } as const;
@@ -18,14 +19,6 @@
   reason?: string;
 }
 
-function readText(path: string, what: string): string {
-  try {
-    return readFileSync(path === '-' ? 0 : path, 'utf8');
-  } catch (error) {
-    throw new JobFileError(`cannot read ${what}: ${error instanceof Error ? error.message : error}`);
-  }
-}
-
 /** The rows of queue statements whose items are in files here, by number. */
 export function readRows(queues: readonly Queue[], base: string): Record<string, string[]> {
   const rows: Record<string, string[]> = {};
@@ -86,7 +79,7 @@
   return table(['OWNER', 'BATCH_NAME', 'SUBMITTED', 'DONE', 'RUN', 'IDLE', 'HOLD', 'TOTAL', 'JOB_IDS'], rows);
 }
 
-function procTable(procs: readonly ProcRow[]): string {
+function procTable(procs: readonly ProcView[]): string {
   const rows = procs.map((p) => [
     `${p.cluster}.${p.proc}`,
     p.user,
@@ -153,7 +146,7 @@
     const wanted = new Set(names.map((n) => target(n).cluster));
     const all = await client.clusters(options.over);
     const clusters = all.filter((v) => wanted.size === 0 || wanted.has(v.cluster));
-    const procs: ProcRow[] = [];
+    const procs: ProcView[] = [];
     if (options.nobatch)
       for (const v of clusters) if (v.state !== 'over') procs.push(...(await client.procs(v.cluster)));
     c.close();
--- a/src/cli/jobs.ts
+++ b/src/cli/jobs.ts
@@ -1,8 +1,7 @@
-import { readFileSync } from 'node:fs';
 import type { Command } from 'commander';
-import { JobFileError, readJobFile } from '../client/jobfile.js';
 import type { JobView } from '../wire/users.js';
 import { type Connected, connect, type ServerOptions, serverOptions } from './connect.js';
+import { loadJobs } from './files.js';
 import { EXIT, fail, say, table } from './output.js';
 
 /** Exit codes follow the worst of several jobs. */
@@ -38,13 +37,7 @@
       .description('submit the jobs of a TOML or JSON file (- for standard input, as JSON)')
       .option('--wait', 'wait until they are done'),
   ).action(async (file: string, options: ServerOptions & { wait?: boolean }) => {
-    let text: string;
-    try {
-      text = readFileSync(file === '-' ? 0 : file, 'utf8');
-    } catch (error) {
-      throw new JobFileError(`cannot read ${file}: ${error instanceof Error ? error.message : error}`);
-    }
-    const orders = readJobFile(text, file.endsWith('.toml') ? 'toml' : 'json');
+    const orders = loadJobs(file);
     const c = connect(options);
     const views: (JobView | null)[] = [];
     for (const { spec, upload } of orders) views.push(await c.client.submit(spec, upload));
--- a/src/cli/local.ts
+++ b/src/cli/local.ts
@@ -4,6 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import { type Command, InvalidArgumentError } from 'commander';
 import type { LocalCluster } from '../emulator/local.js';
+import { loadJobs } from './files.js';
 import { EXIT, fail, say } from './output.js';
 
 export interface LocalFlags {
@@ -90,14 +91,16 @@
       .option('--run <file>', 'submit the jobs of a file, wait until they are done, and end'),
     1,
   ).action(async (flags: LocalFlags & { run?: string }) => {
+    // What cannot be read is said before anything is started.
+    const orders = flags.run === undefined ? null : loadJobs(flags.run);
     const { cluster, stop } = await startLocal(flags);
     say(`users        http://${cluster.users}    (--server, SPARTRAY_SERVER)`);
     say(`descriptions http://${cluster.depot}    (--depot, SPARTRAY_DEPOT)`);
     for (const c of cluster.controllers) say(`${c.node} http://${c.bind}`);
     say(`machines     ${cluster.machines.size} up; ends with Ctrl-C`);
-    if (flags.run === undefined) return;
-    const { runFile } = await import('./runfile.js');
-    const done = await runFile(cluster, flags.run);
+    if (orders === null) return;
+    const { runJobs } = await import('./runfile.js');
+    const done = await runJobs(cluster, orders);
     await stop();
     process.exit(done ? EXIT.ok : EXIT.failed);
   });
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -86,14 +86,14 @@
 
   /** How a job stands; null when it was never accepted. Fails with `Unreachable`. */
   async status(id: string): Promise<JobView | null> {
-    const path = `${USER_PATHS.jobs}/${encodeURIComponent(id)}`;
+    const path = pathOf(id);
     const answer = await this.repeat('GET', path, null, [200, 404], POLL_ANSWER_MS);
     return answer.status === 404 ? null : this.view(answer);
   }
 
   /** Asks once; undefined when there was no answer to go by. */
   async poll(id: string): Promise<JobView | null | undefined> {
-    const path = `${USER_PATHS.jobs}/${encodeURIComponent(id)}`;
+    const path = pathOf(id);
     const answer = await this.try(this.server(), 'GET', path, null, POLL_ANSWER_MS);
     if (answer?.status === 404) return null;
     return answer?.status === 200 ? (readStatus(answer.body) ?? undefined) : undefined;
@@ -117,7 +117,7 @@
 
   /** Cancels a job; it stays `done` when it was. Fails with `Rejected` (404) or `Unreachable`. */
   async cancel(id: string): Promise<JobView> {
-    const path = `${USER_PATHS.jobs}/${encodeURIComponent(id)}/${USER_PATHS.cancel}`;
+    const path = `${pathOf(id)}/${USER_PATHS.cancel}`;
     return this.view(await this.repeat('POST', path, {}, [200, 404]));
   }
 
@@ -186,6 +186,10 @@
   }
 }
 
+function pathOf(id: string): string {
+  return `${USER_PATHS.jobs}/${encodeURIComponent(id)}`;
+}
+
 function retryAfter(answer: HttpAnswer | null): number {
   const seconds = Number(answer?.headers.get('retry-after') ?? 0);
   return Number.isFinite(seconds) ? seconds : 0;
--- a/src/client/condor.ts
+++ b/src/client/condor.ts
@@ -1,46 +1,7 @@
 import { randomUUID } from 'node:crypto';
+import { type AnalysisView, type ClusterView, CONDOR_PATH, type ProcView } from '../wire/condor.js';
 import { Rejected, type SpartrayClient } from './client.js';
 
-export interface ClusterView {
-  cluster: number;
-  user: string;
-  batch: string | null;
-  at: number;
-  procs: number;
-  /** Processes that are jobs by now. */
-  jobs: number;
-  state: 'active' | 'removing' | 'over';
-  idle: number;
-  running: number;
-  held: number;
-  removed: number;
-  completed: number;
-}
-
-export interface ProcRow {
-  cluster: number;
-  proc: number;
-  user: string;
-  state: 'idle' | 'running' | 'held' | 'removed' | 'completed';
-  job: string;
-  cmd: string;
-  priority: number;
-  memoryMb: number;
-  at: number;
-  reason: string | null;
-}
-
-export interface AnalysisView {
-  cluster: number;
-  proc: number;
-  state: string;
-  kinds: number;
-  matches: number;
-  clauses: { text: string; matches: number; nearest?: string }[];
-  reason: string | null;
-  ad: string;
-}
-
 /** A submit file that cannot be read, by line and column. */
 export class SubmitRejected extends Rejected {
   constructor(
@@ -52,8 +13,6 @@
   }
 }
 
-const PATH = '/condor/clusters';
-
 /** HTCondor's submit files, through a client's retries. Failures are those of the client, and `SubmitRejected`. */
 export class CondorClient {
   constructor(private readonly client: SpartrayClient) {}
@@ -66,19 +25,24 @@
   ): Promise<{ cluster: number; procs: number; warnings: string[] }> {
     // The same submission however often it is repeated.
     const body = { submission: randomUUID(), text, rows, user };
-    return (await this.ask('POST', PATH, body)) as { cluster: number; procs: number; warnings: string[] };
+    return (await this.ask('POST', CONDOR_PATH, body)) as {
+      cluster: number;
+      procs: number;
+      warnings: string[];
+    };
   }
 
   async clusters(over = false): Promise<ClusterView[]> {
-    return ((await this.ask('GET', `${PATH}${over ? '?over=1' : ''}`, null)) as { clusters: ClusterView[] })
-      .clusters;
+    return (
+      (await this.ask('GET', `${CONDOR_PATH}${over ? '?over=1' : ''}`, null)) as { clusters: ClusterView[] }
+    ).clusters;
   }
 
-  async procs(cluster: number): Promise<ProcRow[]> {
-    const all: ProcRow[] = [];
+  async procs(cluster: number): Promise<ProcView[]> {
+    const all: ProcView[] = [];
     for (;;) {
-      const page = (await this.ask('GET', `${PATH}/${cluster}/procs?from=${all.length}`, null)) as {
-        procs: ProcRow[];
+      const page = (await this.ask('GET', `${CONDOR_PATH}/${cluster}/procs?from=${all.length}`, null)) as {
+        procs: ProcView[];
         more: boolean;
       };
       all.push(...page.procs);
@@ -87,7 +51,7 @@
   }
 
   async analyze(cluster: number, proc: number): Promise<AnalysisView> {
-    return (await this.ask('GET', `${PATH}/${cluster}/analyze?from=${proc}`, null)) as AnalysisView;
+    return (await this.ask('GET', `${CONDOR_PATH}/${cluster}/analyze?from=${proc}`, null)) as AnalysisView;
   }
 
   /** Holds, releases or removes processes; returns how many that changed. */
@@ -96,7 +60,8 @@
     cluster: number,
     which: { procs?: number[]; constraint?: string; reason?: string },
   ): Promise<number> {
-    return ((await this.ask('POST', `${PATH}/${cluster}/${act}`, which)) as { changed: number }).changed;
+    return ((await this.ask('POST', `${CONDOR_PATH}/${cluster}/${act}`, which)) as { changed: number })
+      .changed;
   }
 
   private async ask(method: string, path: string, body: object | null): Promise<unknown> {
--- a/src/condor/cluster.ts
+++ b/src/condor/cluster.ts
@@ -1,12 +1,11 @@
 import { Mutex } from 'async-mutex';
 import { type Ad, isLiteral } from '../classad/ast.js';
 import { evaluate } from '../classad/evaluate.js';
+import type { ProcState } from '../wire/condor.js';
 import type { JobSpec, ListedJob } from '../wire/users.js';
 import type { ClusterPlan, Proc } from './procs.js';
 import { CHUNK, type ClusterRecord, type Exception } from './records.js';
 
-export type ProcState = 'idle' | 'running' | 'held' | 'removed' | 'completed';
-
 /** The numbers that the language has for states. */
 export const STATUS: Record<ProcState, bigint> = {
   idle: 1n,
@@ -89,17 +88,22 @@
     return e?.node === 'literal' && typeof e.value === 'bigint' ? e.value : 0n;
   }
 
+  /** Most clusters say nothing of it, and then no process has to be made to know. */
+  private heldFromStart(n: number): boolean {
+    return this.plan.mayHold(n) && this.proc(n).held;
+  }
+
   /** Whether a process is to become a job, as far as its owner has said. */
   wanted(n: number): boolean {
     const x = this.exceptions.get(n);
     if (x) return x.state === 'idle';
-    return !this.proc(n).held;
+    return !this.heldFromStart(n);
   }
 
   state(n: number): ProcState {
     const x = this.exceptions.get(n);
     if (x && x.state !== 'idle') return x.state;
-    if (!x && this.proc(n).held) return 'held';
+    if (!x && this.heldFromStart(n)) return 'held';
     if (this.record.state === 'removing') return 'removed';
     const job = this.jobs.get(jobId(this.number, n, x?.start ?? 0));
     if (job) return job.running > 0 ? 'running' : 'idle';
--- a/src/condor/expander.ts
+++ b/src/condor/expander.ts
@@ -5,9 +5,10 @@
 import { Unavailable } from '../shard/answers.js';
 import type { ControllerNode } from '../shards/node.js';
 import { StateFailure } from '../state/store.js';
+import type { ProcState } from '../wire/condor.js';
 import type { JobSpec, ListedJob } from '../wire/users.js';
 import type { World } from '../world/world.js';
-import { Cluster, jobId, jobsUnder, type ProcState } from './cluster.js';
+import { Cluster, jobId, jobsUnder } from './cluster.js';
 import { ClusterPlan, type ProcOptions } from './procs.js';
 import { type ClusterRecords, EXPANDER, type Exception, type Loaded } from './records.js';
 
--- a/src/condor/matcher.ts
+++ b/src/condor/matcher.ts
@@ -7,17 +7,10 @@
 import type { MatchSpec } from '../wire/users.js';
 import type { Catalog, Matcher, Names } from '../world/world.js';
 
+/** Attributes that change with what a machine holds. */
+const LOADS = ['loadavg', 'totalloadavg', 'freecpus', 'freememory', 'freegpus'];
 /** Attributes of a single machine; all others are those of its kind. */
-const OF_MACHINE = new Set([
-  'name',
-  'machine',
-  'loadavg',
-  'totalloadavg',
-  'cachedimages',
-  'freecpus',
-  'freememory',
-  'freegpus',
-]);
+const OF_MACHINE = new Set(['name', 'machine', 'cachedimages', ...LOADS]);
 const CHANGING = new Set(['price']);
 const NOTHING = new Ad();
 const MACHINES_KEPT = 4000;
@@ -160,13 +153,7 @@
 function stateOf(m: PlanMachine, names: ReadonlySet<string>, version: number): string {
   let state = names.has('price') ? String(version) : '';
   if (names.has('cachedimages')) state += ` i${[...m.images].join(',')}`;
-  if (
-    names.has('loadavg') ||
-    names.has('totalloadavg') ||
-    names.has('freecpus') ||
-    names.has('freememory') ||
-    names.has('freegpus')
-  ) {
+  if (LOADS.some((n) => names.has(n))) {
     let [cpus, gpus, memoryGb] = [0, 0, 0];
     for (const { need } of m.held) {
       cpus += need.cpus;
--- a/src/condor/procs.ts
+++ b/src/condor/procs.ts
@@ -3,7 +3,7 @@
 import { flatten } from '../classad/flatten.js';
 import { ClassAdError, parseExpr } from '../classad/parser.js';
 import { printExpr } from '../classad/print.js';
-import { type JobSpec, PRIORITY } from '../wire/users.js';
+import { type JobSpec, PRIORITIES, PRIORITY } from '../wire/users.js';
 import { COMMANDS, UNIVERSES } from './commands.js';
 import { parseSubmit, type Queue, rowsOf, split } from './language.js';
 import { Macros, type Setting, SubmitError } from './macros.js';
@@ -35,12 +35,6 @@
 
 const MOST_PROCS = 100_000;
 const KEPT_DESCRIPTION = 200;
-const PRIORITIES: Record<string, number> = {
-  low: PRIORITY.low,
-  standard: PRIORITY.normal,
-  urgent: PRIORITY.high,
-  production: PRIORITY.production,
-};
 const BUILT_IN = ['clusterid', 'cluster', 'procid', 'process', 'step', 'row', 'itemindex'];
 
 /** The processes of a cluster, made one at a time from what was submitted. */
@@ -83,11 +77,21 @@
     }
   }
 
-  /** One process. Fails with `SubmitError`. */
-  proc(cluster: number, n: number): Proc {
+  private queueOf(n: number): ClusterPlan['queues'][number] {
     let i = this.queues.length - 1;
     while (this.queues[i]!.first > n) i--;
-    const q = this.queues[i]!;
+    return this.queues[i]!;
+  }
+
+  /** Whether anything is set that could hold a process from its submission on. */
+  mayHold(n: number): boolean {
+    const { settings } = this.queueOf(n).queue;
+    return settings.has('hold') || settings.has('+submitonhold');
+  }
+
+  /** One process. Fails with `SubmitError`. */
+  proc(cluster: number, n: number): Proc {
+    const q = this.queueOf(n);
     const step = (n - q.first) % q.count;
     const row = Math.floor((n - q.first) / q.count);
     const own = split(q.rows[row]!, q.queue.variables);
@@ -312,7 +316,7 @@
   private priority(ad: Ad): number {
     const said = this.text(ad, 'SpartrayPriority');
     if (said !== null) {
-      const p = PRIORITIES[said.toLowerCase()];
+      const p = PRIORITIES[said.toLowerCase() as keyof typeof PRIORITIES];
       if (p !== undefined) return p;
       const { line, column } = this.place('SpartrayPriority');
       throw new SubmitError(
--- a/src/condor/service.ts
+++ b/src/condor/service.ts
@@ -3,15 +3,17 @@
 import { ClassAdError, parseExpr } from '../classad/parser.js';
 import { printAd } from '../classad/print.js';
 import { pause } from '../clock/clock.js';
+import { bad, later, parseBody, wrongMethod } from '../http/replies.js';
 import type { HttpReply, HttpRequest } from '../http/server.js';
 import { Answered } from '../peer/mesh.js';
 import { Unavailable } from '../shard/answers.js';
 import type { ControllerNode } from '../shards/node.js';
 import { StateFailure } from '../state/store.js';
+import { type AnalysisView, type ClusterView, CONDOR_PATH, type ProcView } from '../wire/condor.js';
 import { type JobSpec, writeJob } from '../wire/users.js';
 import type { World } from '../world/world.js';
 import { type Analysis, analyze, type Offer } from './analyze.js';
-import { type Cluster, jobId, type ProcState } from './cluster.js';
+import { type Cluster, jobId } from './cluster.js';
 import { Expander } from './expander.js';
 import { SubmitError } from './macros.js';
 import { kindAd } from './matcher.js';
@@ -36,7 +38,7 @@
   constraint: v.nullish(v.string()),
   reason: v.optional(v.pipe(v.string(), v.maxLength(400)), 'as its owner asked'),
 });
-const PATH = /^\/condor\/clusters(?:\/(\d{1,9})(?:\/(procs|hold|release|remove|analyze))?)?$/;
+const PATH = new RegExp(`^${CONDOR_PATH}(?:\\/(\\d{1,9})(?:\\/(procs|hold|release|remove|analyze))?)?$`);
 const OP = 'condor';
 const ASK_MS = 3500;
 const UPLOAD_MS = 3000;
@@ -48,20 +50,6 @@
   'TARGET.GPUs >= RequestGPUs',
 ].map(parseExpr);
 
-/** One process as users see it. */
-export interface ProcView {
-  cluster: number;
-  proc: number;
-  user: string;
-  state: ProcState;
-  job: string;
-  cmd: string;
-  priority: number;
-  memoryMb: number;
-  at: number;
-  reason: string | null;
-}
-
 /** HTCondor's submit files over HTTP, and the part of a node that turns them into jobs. */
 export class CondorService {
   private readonly records: ClusterRecords;
@@ -92,13 +80,10 @@
     try {
       return await this.route(r);
     } catch (error) {
-      if (error instanceof SubmitError)
-        return { status: 400, body: { error: error.message, line: error.line, column: error.column } };
-      if (error instanceof ClassAdError)
+      if (error instanceof SubmitError || error instanceof ClassAdError)
         return { status: 400, body: { error: error.message, line: error.line, column: error.column } };
       if (error instanceof NoCluster) return { status: 404, body: { error: 'no such cluster' } };
-      if (error instanceof Unavailable || error instanceof StateFailure)
-        return { status: 503, body: { error: error.message }, headers: { 'Retry-After': '1' } };
+      if (error instanceof Unavailable || error instanceof StateFailure) return later(503, 1, error.message);
       throw error;
     }
   }
@@ -119,7 +104,7 @@
       return { status: 200, body: (await this.ask(what, { cluster, from })) as object };
     }
     if (r.method !== 'POST') return wrongMethod('POST');
-    const parsed = v.safeParse(actBody, parse(r.body) ?? {});
+    const parsed = v.safeParse(actBody, parseBody(r.body) ?? {});
     if (!parsed.success)
       return bad(`${v.getDotPath(parsed.issues[0]) ?? 'body'}: ${parsed.issues[0].message}`);
     const { procs, constraint, reason } = parsed.output;
@@ -130,7 +115,7 @@
 
   /** Everything is checked first; then one durable record, and the answer. */
   private async submit(r: HttpRequest): Promise<HttpReply> {
-    const parsed = v.safeParse(submitBody, parse(r.body));
+    const parsed = v.safeParse(submitBody, parseBody(r.body));
     if (!parsed.success)
       return bad(`${v.getDotPath(parsed.issues[0]) ?? 'body'}: ${parsed.issues[0].message}`);
     if (!this.node.allMatch) throw new Unavailable('not all controllers serve HTCondor submit files');
@@ -184,7 +169,7 @@
     return c;
   }
 
-  private summary(c: Cluster): object {
+  private summary(c: Cluster): ClusterView {
     const { user, batch, at, total, state } = c.record;
     return { cluster: c.number, user, batch, at, procs: total, jobs: c.cursor, state, ...c.counts };
   }
@@ -213,12 +198,13 @@
 
   private page(c: Cluster, from: number): object {
     const procs: ProcView[] = [];
+    const offers = this.offers();
     const to = Math.min(c.record.total, from + PAGE);
-    for (let n = from; n < to; n++) procs.push(this.view(c, n));
+    for (let n = from; n < to; n++) procs.push(this.view(c, n, offers));
     return { procs, more: to < c.record.total };
   }
 
-  private view(c: Cluster, n: number): ProcView {
+  private view(c: Cluster, n: number, offers: readonly Offer[]): ProcView {
     const { ad, spec } = c.proc(n);
     const state = c.state(n);
     const x = c.exceptions.get(n);
@@ -238,29 +224,35 @@
         state === 'held' || state === 'removed'
           ? (x?.why ?? null)
           : state === 'idle'
-            ? this.analyzed(c, n).reason
+            ? this.analyzed(c, n, offers).reason
             : null,
     };
   }
 
-  private analyzed(c: Cluster, n: number): Analysis {
+  private analyzed(c: Cluster, n: number, offers: readonly Offer[]): Analysis {
     const { ad } = c.proc(n);
-    return analyze(ad.get('Requirements')!, ad, this.offers(), SIZES);
+    return analyze(ad.get('Requirements')!, ad, offers, SIZES);
   }
 
-  private analyzeProc(c: Cluster, n: number): object {
+  private analyzeProc(c: Cluster, n: number): AnalysisView {
     if (n >= c.record.total) throw new NoCluster();
     const { ad } = c.proc(n);
-    return { cluster: c.number, proc: n, state: c.state(n), ...this.analyzed(c, n), ad: printAd(ad) };
+    return {
+      cluster: c.number,
+      proc: n,
+      state: c.state(n),
+      ...this.analyzed(c, n, this.offers()),
+      ad: printAd(ad),
+    };
   }
 
   private offers(): Offer[] {
-    const offers: Offer[] = [];
-    for (const [, t] of this.world.catalog.all())
-      for (const zone of t.zones)
-        for (const spot of [false, true])
-          offers.push({ type: t.name, zone, spot, ad: kindAd(t, zone, spot) });
-    return offers;
+    return [...this.world.catalog.kinds()].map(({ of, zone, spot }) => ({
+      type: of.name,
+      zone,
+      spot,
+      ad: kindAd(of, zone, spot),
+    }));
   }
 
   private async act(c: Cluster, a: Record<string, unknown>): Promise<number> {
@@ -316,19 +308,3 @@
     super(NO_CLUSTER);
   }
 }
-
-function parse(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString('utf8'));
-  } catch {
-    return undefined;
-  }
-}
-
-function bad(error: string): HttpReply {
-  return { status: 400, body: { error } };
-}
-
-function wrongMethod(allow: string): HttpReply {
-  return { status: 405, body: { error: 'method not allowed' }, headers: { Allow: allow } };
-}
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,11 +1,11 @@
 import { randomUUID } from 'node:crypto';
-import { readFileSync } from 'node:fs';
 import { Command, InvalidArgumentError, Option } from 'commander';
 import { Api, claimOf } from './api/routes.js';
 import { quickClock } from './clock/clock.js';
 import { Cloud } from './cloud/cloud.js';
 import { LEVELS, makeLog } from './config/log.js';
 import { loadSettings, partSockets, type Settings, SettingsError } from './config/settings.js';
+import { version } from './config/version.js';
 import { HttpClient } from './http/client.js';
 import { HttpServer } from './http/server.js';
 import { PeerMesh } from './peer/mesh.js';
@@ -20,11 +20,6 @@
 /** Connections to one worker at once: most orders go one after the other. */
 const SOCKETS_PER_WORKER = 4;
 
-function version(): string {
-  const text = readFileSync(new URL('../package.json', import.meta.url), 'utf8');
-  return (JSON.parse(text) as { version: string }).version;
-}
-
 function fail(code: number, message: string): never {
   process.stderr.write(`spartray: ${message}\n`);
   process.exit(code);
--- a/src/emulator/worker.ts
+++ b/src/emulator/worker.ts
@@ -3,6 +3,7 @@
   type ExitCause,
   type Order,
   readOrders,
+  type TaskReport,
   type TaskState,
   taskName,
   WORKER_PATHS,
@@ -11,15 +12,9 @@
 import type { Served } from './state.js';
 
 /** One attempt of a task, as its worker has it. */
-export interface Attempt {
+export interface Attempt extends TaskReport {
   /** The task's name, as in `wk-000412/3`. */
   task: string;
-  job: string;
-  index: number;
-  attempt: number;
-  state: TaskState;
-  cause: ExitCause | null;
-  saved: boolean;
 }
 
 /** What becomes of tasks on a worker; without it they run from their start until somebody ends them. */
--- a/src/load/check.ts
+++ b/src/load/check.ts
@@ -34,8 +34,9 @@
   const found: Violation[] = [];
   const broken = (rule: string, at: number, what: string) => found.push({ rule, at, what });
   const ended = cancellations(told);
-  checkTasks(tasks, jobs, limits, ended, broken);
-  checkTold(told, jobs, doneAt(tasks, jobs), ended, limits, broken);
+  const done = doneAt(tasks, jobs);
+  checkTasks(tasks, jobs, done, limits, ended, broken);
+  checkTold(told, jobs, done, ended, limits, broken);
   if (jobs.size > 0 && !tasks.some((e) => e.kind === 'on')) broken('nothing_ran', 0, 'no task was started');
   return found.sort((a, b) => a.at - b.at);
 }
@@ -78,13 +79,13 @@
 function checkTasks(
   tasks: readonly TaskEvent[],
   jobs: ReadonlyMap<string, JobSpec>,
+  done: ReadonlyMap<string, number>,
   limits: Limits,
   cancelled: ReadonlyMap<string, number>,
   broken: Report,
 ): void {
   const held = new Map<string, Map<number, Held[]>>();
   const usage = new Map<string, { cpus: number; gpus: number }>();
-  const done = doneAt(tasks, jobs);
   for (const e of tasks) {
     const spec = jobs.get(e.job);
     const task = `${e.job}/${e.index}`;
--- a/src/load/play.ts
+++ b/src/load/play.ts
@@ -6,7 +6,7 @@
 import type { Platform } from '../emulator/platform.js';
 import { Random } from '../emulator/random.js';
 import { HttpClient } from '../http/client.js';
-import { type JobSpec, PRIORITY } from '../wire/users.js';
+import { type JobSpec, KINDS, PRIORITIES } from '../wire/users.js';
 import { checkHistory, type UserEvent, type Violation } from './check.js';
 import type { Fault, JobClass, Scenario } from './scenario.js';
 
@@ -62,14 +62,6 @@
 const POLL_MS = 5000;
 const SERIES_MS = 1000;
 const STRANGE_MS = 7000;
-const PRIORITIES = {
-  low: PRIORITY.low,
-  standard: PRIORITY.normal,
-  urgent: PRIORITY.high,
-  production: PRIORITY.production,
-};
-const KINDS = { sweep: 'array', ensemble: 'gang', standing: 'service' } as const;
-
 function histogram(): Histogram {
   return build({
     lowestDiscernibleValue: 1,
--- a/src/overflow/lending.ts
+++ b/src/overflow/lending.ts
@@ -152,7 +152,7 @@
 
 /** Whether all tasks have to be stopped now, whatever has been heard from home. */
 export function mustStop(r: PartnerRecord, now: number, l: LendingLimits): boolean {
-  return r.state !== 'started' || !timeToStart(r.until, now, l);
+  return !mayRunBorrowed(r, now, l);
 }
 
 /** All tasks are done here. */
--- a/src/shard/demand.ts
+++ b/src/shard/demand.ts
@@ -185,10 +185,8 @@
   private kindsOf(job: Job): string[] {
     const { zones } = this.world.names;
     const kinds: string[] = [];
-    for (const [type, t] of this.world.catalog.all())
-      for (const zone of t.zones)
-        for (const spot of [false, true])
-          if (kindAllowed(job, type, zones.index(zone), spot)) kinds.push(kindName(t.name, zone, spot));
+    for (const { type, of, zone, spot } of this.world.catalog.kinds())
+      if (kindAllowed(job, type, zones.index(zone), spot)) kinds.push(kindName(of.name, zone, spot));
     return kinds;
   }
 
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -148,11 +148,9 @@
     const known = this.matched.get(job);
     if (known?.version === version) return known.somewhere;
     const { zones } = this.world.names;
-    const somewhere = this.world.catalog
-      .all()
-      .some(([type, t]) =>
-        t.zones.some((z) => [false, true].some((spot) => kindAllowed(job, type, zones.index(z), spot))),
-      );
+    let somewhere = false;
+    for (const { type, zone, spot } of this.world.catalog.kinds())
+      somewhere ||= kindAllowed(job, type, zones.index(zone), spot);
     this.matched.set(job, { version, somewhere });
     return somewhere;
   }
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -46,8 +46,9 @@
 /** No submission has room for more of them. */
 const MOST_AFTER = 16_384;
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
-const KINDS = { sweep: 'array', ensemble: 'gang', standing: 'service' } as const;
-const PRIORITIES = {
+/** Kinds and priorities by the wire's words. */
+export const KINDS = { sweep: 'array', ensemble: 'gang', standing: 'service' } as const;
+export const PRIORITIES = {
   production: PRIORITY.production,
   urgent: PRIORITY.high,
   standard: PRIORITY.normal,
@@ -175,12 +176,15 @@
   running: number;
 }
 
+function statusOf(word: v.InferOutput<typeof statusBody>['status']): JobStatus {
+  return word === 'aborted' ? 'cancelled' : word;
+}
+
 /** How a job stands, as a user is told; null when it cannot be read. */
 export function readStatus(body: unknown): JobView | null {
   const parsed = v.safeParse(statusBody, body);
   if (!parsed.success) return null;
-  const { status } = parsed.output;
-  return { ...parsed.output, status: status === 'aborted' ? 'cancelled' : status };
+  return { ...parsed.output, status: statusOf(parsed.output.status) };
 }
 
 /** One unfinished job of a list. */
@@ -202,7 +206,7 @@
   if (!parsed.success) return null;
   const jobs = parsed.output.jobs.map(({ owner, jobClass, pieces, ...view }) => ({
     ...view,
-    status: view.status === 'aborted' ? ('cancelled' as const) : view.status,
+    status: statusOf(view.status),
     team: owner,
     class: jobClass,
     tasks: pieces,
--- a/src/world/world.ts
+++ b/src/world/world.ts
@@ -77,6 +77,12 @@
     return [...this.byIndex];
   }
 
+  /** Every kind of machine that is offered: a type, a zone, spot or not. */
+  *kinds(): Generator<{ type: number; of: MachineType; zone: string; spot: boolean }> {
+    for (const [type, of] of this.byIndex)
+      for (const zone of of.zones) for (const spot of [false, true]) yield { type, of, zone, spot };
+  }
+
   size(type: number): Amounts {
     const t = this.byIndex.get(type);
     return t ? { cpus: t.cpus, gpus: t.gpus, memoryGb: t.memoryGb } : { cpus: 0, gpus: 0, memoryGb: 0 };
