--- a/tests/condor.test.ts
+++ b/tests/condor.test.ts
@@ -12,6 +12,7 @@
 import { Catalog, Names } from '../src/world/world.js';
 import { FakeCluster, job } from './support/cluster.js';
 import { ask, condorCluster, expandThroughCrashes, finisher, HEAD, submission } from './support/condor.js';
+import { planJob, machine as planMachine, size } from './support/plan.js';
 
 const OPTIONS = { teams: ['red', 'blue'], team: null, never: () => null };
 const plan = (text: string, rows: Record<string, string[]> = {}) =>
@@ -199,19 +200,12 @@
     requirements: 'LoadAvg < 2 && Machine != "m-1" && Memory > 1',
     rank: 'member("img", CachedImages) * 5',
   });
-  const machine = (id: string, cpus: number) => ({
-    id,
-    type: 0,
-    zone: 0,
-    spot: false,
-    size: { cpus: 8, gpus: 0, memoryGb: 32 },
-    readyAt: 0,
-    until: Number.POSITIVE_INFINITY,
-    closed: false,
-    fetchGbPerS: 1,
-    images: new Set<number>(),
-    held: cpus > 0 ? [{ team: 0, end: 1, need: { cpus, gpus: 0, memoryGb: 1 } }] : [],
-  });
+  const machine = (id: string, cpus: number) =>
+    planMachine({
+      id,
+      images: new Set(),
+      held: cpus > 0 ? [{ team: 0, end: 1, need: { cpus, gpus: 0, memoryGb: 1 } }] : [],
+    });
   assert.equal(single.kind(0, 0, false), true, 'only its machines can tell');
   const before = matcher.asked;
   for (let i = 0; i < 4; i++) {
@@ -226,41 +220,13 @@
 test('rank decides between machines that are equally loaded, and only there', () => {
   const { matcher } = market();
   const match = matcher.compile({ requirements: 'true', rank: 'Machine == "m-1"' });
-  const size = { cpus: 8, gpus: 0, memoryGb: 32 };
-  const machine = (id: string, held: { team: number; end: number; need: typeof size }[]) => ({
-    id,
-    type: 0,
-    zone: 0,
-    spot: false,
-    size,
-    readyAt: 0,
-    until: Number.POSITIVE_INFINITY,
-    closed: false,
-    fetchGbPerS: 1,
-    images: new Set([0]),
-    held,
-  });
-  const asked = {
-    id: 1,
-    team: 0,
-    kind: 'array' as const,
-    need: { cpus: 2, gpus: 0, memoryGb: 1 },
-    types: null,
-    zone: null,
-    match,
-    oneZone: false,
-    spread: false,
-    spot: true,
-    image: 0,
-    imageGb: 1,
-    runS: 60,
-    deadline: 1000,
-    total: 1,
-    tasks: [0],
-    present: new Map(),
-  };
+  const asked = planJob({ need: { cpus: 2, gpus: 0, memoryGb: 1 }, match, imageGb: 1 });
   const place = (held: { team: number; end: number; need: typeof size }[]) => {
-    const p = new Plan(0, [machine('m-0', held), machine('m-1', [])], [{ cpus: 0, gpus: 0 }]);
+    const p = new Plan(
+      0,
+      [planMachine({ id: 'm-0', held }), planMachine({ id: 'm-1' })],
+      [{ cpus: 0, gpus: 0 }],
+    );
     p.book(asked);
     return p.bookings[0]!.machine;
   };
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -1,55 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { makeJob, withinGuarantee } from '../src/jobs/job.js';
-import type { PlanJob, PlanMachine } from '../src/plan/model.js';
 import { Plan } from '../src/plan/plan.js';
 import { chooseVictims } from '../src/plan/preempt.js';
 import { chooseRental } from '../src/plan/rent.js';
 import { partTeams } from '../src/shards/leader.js';
 import { chooseCeding, matchSpares, shardFor } from '../src/supply/moves.js';
 import type { JobSpec } from '../src/wire/users.js';
-
-const size = { cpus: 8, gpus: 0, memoryGb: 32 };
-
-function machine(change: Partial<PlanMachine> = {}): PlanMachine {
-  return {
-    id: null,
-    type: 0,
-    zone: 0,
-    spot: false,
-    size,
-    readyAt: 0,
-    until: Number.POSITIVE_INFINITY,
-    closed: false,
-    fetchGbPerS: 1,
-    images: new Set([0]),
-    held: [],
-    ...change,
-  };
-}
-
-function planJob(change: Partial<PlanJob> = {}): PlanJob {
-  return {
-    id: 1,
-    team: 0,
-    kind: 'array',
-    need: { cpus: 4, gpus: 0, memoryGb: 8 },
-    types: null,
-    zone: null,
-    match: null,
-    oneZone: false,
-    spread: false,
-    spot: true,
-    image: 0,
-    imageGb: 2,
-    runS: 60,
-    deadline: 1000,
-    total: 1,
-    tasks: [0],
-    present: new Map(),
-    ...change,
-  };
-}
+import { machine, planJob, size } from './support/plan.js';
 
 const busy = (end: number, cpus = 4) => ({ team: 0, end, need: { cpus, gpus: 0, memoryGb: 4 } });
 const noCaps = [{ cpus: 0, gpus: 0 }];
