Machines find the owner that took over when two of three lose the state service

Change: a node without its lease sends no machine on by its old copy; who takes a shard tells all nodes directly, and a former owner that hears of a newer term ends its shard there and then. An owner that may not act takes no machine for lost. Machines that could not be asked at the take-over are asked again.

--- a/src/keys/keys.ts
+++ b/src/keys/keys.ts
@@ -7,6 +7,7 @@
   cluster: 'c/',
   leader: 'c/lead',
   node: (name: string) => `c/node/${name}`,
+  owners: 'c/own/',
   owner: (shard: number) => `c/own/${shard}`,
   machines: 'c/m/',
   machine: (id: string) => `c/m/${id}`,
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -469,8 +469,10 @@
     if (this.ticking || !this.loaded || this.stopped) return;
     this.ticking = true;
     try {
+      // An owner that may not act loses no machine either: they are another's by now, or its again with its lease.
+      if (!this.entitled) return;
       this.fleet.tick();
-      if (this.entitled) work();
+      work();
     } catch (error) {
       this.log.error({ error: error instanceof Error ? error.stack : String(error) }, 'tick failed');
     } finally {
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -18,6 +18,8 @@
   private lease: number | null = null;
   private validUntil = Number.NEGATIVE_INFINITY;
   private left = false;
+  /** Owners as the nodes themselves have told, where that is newer than what this copy shows. */
+  private readonly told = new Map<number, { owner: Holder; term: number }>();
 
   constructor(
     private readonly clock: Clock,
@@ -91,9 +93,30 @@
 
   owner(shard: number): Holder | null {
     const e = this.mirror.entries.get(KEYS.owner(shard));
+    const told = this.told.get(shard);
+    if (told && (e?.version ?? 0) < told.term) return told.owner;
     return e ? readHolder(e.value) : null;
   }
 
+  /**
+   * A node says that a shard is its own. Terms are revisions, so the larger one is the newer; a node that is cut off from
+   * the state service learns of the next owner in no other way. It serves as a hint, as the copy does.
+   */
+  hearOwner(shard: number, owner: Holder, term: number): void {
+    if (term > (this.told.get(shard)?.term ?? 0)) this.told.set(shard, { owner, term });
+  }
+
+  /** Whether what is known of a shard's owner comes from that owner. */
+  heard(shard: number): boolean {
+    return this.told.has(shard);
+  }
+
+  /** What the nodes have told is of no more use than what the state service shows afterwards. */
+  ownerChanged(shard: number): void {
+    const e = this.mirror.entries.get(KEYS.owner(shard));
+    if (!e || e.version >= (this.told.get(shard)?.term ?? 0)) this.told.delete(shard);
+  }
+
   leader(): string | null {
     const e = this.mirror.entries.get(KEYS.leader);
     return (e && readHolder(e.value)?.node) ?? null;
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -1,7 +1,7 @@
 // In this room: who owns what: members, claims, leader, routing, letters.
 import type { Job, JobEntry } from '../jobs/job.js';
 import { readSpec } from '../jobs/records.js';
-import { KEYS, LEVEL, MATCH_LEVEL, readMachineRecord } from '../keys/keys.js';
+import { KEYS, LEVEL, MATCH_LEVEL, readHolder, readMachineRecord } from '../keys/keys.js';
 import type { Mesh } from '../peer/mesh.js';
 import { type StatusAnswer, type SubmitAnswer, Unavailable } from '../shard/answers.js';
 import { readClaims } from '../shard/waiting.js';
@@ -68,6 +68,10 @@
       vacate: (shard, machine, to, priority) => this.owners.vacate(shard, machine, to, priority),
       cede: (shard, to, need, zone) => this.owners.cede(shard, to, need, zone),
       allRead: () => this.owners.allRead,
+      tellOwns: (shard, term) => {
+        for (const peer of s.peers)
+          this.mesh?.tell(peer.node, 'owns', { shard, term, holder: this.members.holder });
+      },
     });
     this.cloud = new CloudWatch(world, this.members.mirror, this.own);
   }
@@ -95,6 +99,7 @@
 
   private changed(key: string, entry: Entry | null): void {
     if (entry && key.startsWith(KEYS.mail)) this.mailbox.changed(key, entry);
+    if (key.startsWith(KEYS.owners)) this.members.ownerChanged(Number(key.slice(KEYS.owners.length)));
     if (key.startsWith(KEYS.machines)) {
       const id = key.slice(KEYS.machines.length);
       for (const shard of this.own.shards.values()) shard.machineRecord(id, entry);
@@ -134,6 +139,13 @@
       case 'stray':
         this.own.leader?.seen(a as unknown as Stray);
         return null;
+      case 'owns': {
+        const holder = readHolder(a.holder);
+        if (!holder || !Number.isInteger(a.shard) || !Number.isInteger(a.term)) return null;
+        this.members.hearOwner(Number(a.shard), holder, Number(a.term));
+        this.own.superseded(Number(a.shard), Number(a.term));
+        return null;
+      }
       case 'sent':
         this.own.reach.sentHere(String(a.machine));
         return null;
@@ -237,7 +249,14 @@
       return { kind: 'busy', known: false };
     }
     const owner = this.members.owner(record.shard);
-    if (!owner || owner.node === this.world.settings.node) return { kind: 'busy', known: true };
+    // A node without its lease has lost touch with the state service. Whom it takes for the owner may be the one that was
+    // cut off together with it: each sent machines to the other, and none to the new owner, until their leases ran out.
+    if (
+      !owner ||
+      owner.node === this.world.settings.node ||
+      !(this.members.valid || this.members.heard(record.shard))
+    )
+      return { kind: 'busy', known: true };
     this.mesh?.tell(owner.node, 'sent', { machine: r.machine });
     return { kind: 'redirect', node: owner.node };
   }
--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -42,7 +42,10 @@
     private readonly members: Members,
     /** What a shard here needs of the others, and the leader of all. */
     private readonly others: Others,
-    private readonly leading: LeaderHooks,
+    private readonly leading: LeaderHooks & {
+      /** Tells the other nodes that a shard is this node's. */
+      tellOwns(shard: number, term: number): void;
+    },
   ) {
     const s = world.settings;
     this.order = [s.node, ...s.peers.map((p) => p.node)].sort();
@@ -215,9 +218,16 @@
       this.others,
     );
     this.shards.set(k, shard);
+    this.leading.tellOwns(k, term);
     void shard.start();
   }
 
+  /** Another node has taken a shard under a newer term: this one's is over, whatever its copy of the keys shows. */
+  superseded(k: number, term: number): void {
+    const mine = this.shards.get(k);
+    if (mine && mine.term < term) this.drop(mine);
+  }
+
   /** A shard taken over goes back when its home node has been up for a while. */
   private considerHandBack(k: number): void {
     const home = this.home(k);
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -154,7 +154,8 @@
       // A machine that still boots has no lease to run out, and stays in the plan.
       const begun = m.heardAt !== null || m.unknown;
       if (!m.lost && begun && now > this.leaseEnd(m)) this.lose(m);
-      if (!m.synced && m.addr && !m.lost && m.heardAt !== null) void this.contact(m, null);
+      // One that was taken over and could not be asked at first (no socket free, no answer) is asked again as well.
+      if (!m.synced && m.addr && !m.lost && begun) void this.contact(m, null);
     }
   }
 
