--- a/src/controller.ts
+++ b/src/controller.ts
@@ -33,6 +33,7 @@
   condor?: boolean;
   condorTeam?: string;
   depot?: string;
+  standby?: boolean;
   endWithStdin?: boolean;
 }
 
@@ -77,7 +78,8 @@
     ? await Promise.all([import('./condor/matcher.js'), import('./condor/service.js')])
     : null;
   if (condor) world.matcher = new condor[0].ClassAdMatcher(names, world.catalog);
-  const node = new ControllerNode(world);
+  const standbys = options.standby ? (await import('./shards/standbys.js')).Standbys : null;
+  const node = new ControllerNode(world, standbys);
   const api = new Api(world, node);
   if (condor) {
     const service = new condor[1].CondorService(world, node, {
@@ -102,7 +104,7 @@
     onShort: (counts, open) => log.warn({ ...counts, open }, 'connections short'),
   });
   try {
-    await mesh.listen(settings.peerListen, (op, args) => node.serve(op, args));
+    await mesh.listen(settings.peerListen, (op, args, from) => node.serve(op, args, from));
     await server.listen(settings.listen.host, settings.listen.port);
   } catch (error) {
     fail(EXIT_BIND, `cannot listen: ${error instanceof Error ? error.message : error}`);
@@ -156,6 +158,9 @@
       'SPARTRAY_DEPOT',
     ),
   )
+  .addOption(
+    new Option('--standby', 'a warm standby for every shard (docs/standby.md)').env('SPARTRAY_STANDBY'),
+  )
   .addOption(new Option('--end-with-stdin', 'end when the standard input does (trials on one machine)'))
   .addHelpText('after', '\nCommands beside the controller: spartray help')
   .action(async (options: Options) => {
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -331,31 +331,17 @@
       const [id, chunk] = e.key.slice(KEYS.active.length).split('/');
       if (id === undefined) continue;
       if (chunk === undefined) {
-        if (readActive(e.value)?.shard !== this.shard) continue;
-        const loaded = await this.read(id, e);
+        if (shardOfRecord(e.value) !== this.shard) continue;
+        const loaded = await readLoaded(this.store, id, e);
         if (loaded) byId.set(id, loaded);
         continue;
       }
-      const former = v.safeParse(formerChunkValue, e.value);
-      const stated = v.safeParse(chunkValue, e.value);
-      const read = { name: chunk, version: e.version };
-      if (stated.success) byId.get(id)?.chunks.push({ ...read, ...stated.output });
-      else if (former.success) byId.get(id)?.chunks.push({ ...read, from: null, bits: former.output.done });
+      const read = readChunk(chunk, e);
+      if (read) byId.get(id)?.chunks.push(read);
     }
     return [...byId.values()];
   }
 
-  private async read(id: string, e: Entry): Promise<LoadedJob | null> {
-    const whole = v.safeParse(recordValue, e.value);
-    if (whole.success) return { record: whole.output, version: e.version, chunks: [], partsUnder: null };
-    const parted = v.safeParse(partedValue, e.value);
-    if (!parted.success) return null;
-    const { accepted, deadline, tag, parts } = parted.output;
-    const partsUnder = KEYS.parts(id, tag);
-    const spec = await readParts(this.store, partsUnder, parts);
-    return spec && { record: { spec, accepted, deadline }, version: e.version, chunks: [], partsUnder };
-  }
-
   /** One unfinished job, when it is stored. */
   async loadOne(id: string): Promise<LoadedJob | null> {
     const all = await this.load(KEYS.activeJob(id));
@@ -381,6 +367,35 @@
   return ended && readJobEntry(ended.value);
 }
 
+/** The shard of an unfinished job by its record; null when that is none. */
+export function shardOfRecord(value: unknown): number | null {
+  return readActive(value)?.shard ?? null;
+}
+
+/** An unfinished job by its record, without its done tasks; null when it cannot be read. */
+export async function readLoaded(
+  store: Pick<StateStore, 'list'>,
+  id: string,
+  e: Entry,
+): Promise<LoadedJob | null> {
+  const whole = v.safeParse(recordValue, e.value);
+  if (whole.success) return { record: whole.output, version: e.version, chunks: [], partsUnder: null };
+  const parted = v.safeParse(partedValue, e.value);
+  if (!parted.success) return null;
+  const { accepted, deadline, tag, parts } = parted.output;
+  const partsUnder = KEYS.parts(id, tag);
+  const spec = await readParts(store, partsUnder, parts);
+  return spec && { record: { spec, accepted, deadline }, version: e.version, chunks: [], partsUnder };
+}
+
+/** A chunk of done tasks, in either layout; null when it cannot be read. */
+export function readChunk(name: string, e: Entry): LoadedJob['chunks'][number] | null {
+  const stated = v.safeParse(chunkValue, e.value);
+  if (stated.success) return { name, version: e.version, ...stated.output };
+  const former = v.safeParse(formerChunkValue, e.value);
+  return former.success ? { name, version: e.version, from: null, bits: former.output.done } : null;
+}
+
 export interface LoadedJob {
   record: JobRecord;
   version: number;
--- a/src/keys/keys.ts
+++ b/src/keys/keys.ts
@@ -9,6 +9,8 @@
   node: (name: string) => `c/node/${name}`,
   owners: 'c/own/',
   owner: (shard: number) => `c/own/${shard}`,
+  /** Who stands by for a shard; on its owner's lease. */
+  standby: (shard: number) => `c/stand/${shard}`,
   machines: 'c/m/',
   machine: (id: string) => `c/m/${id}`,
   /** Questions to owners that cannot be reached directly, and their answers. */
@@ -47,6 +49,8 @@
   aside: v.optional(v.boolean()),
   /** In the key of a node: which level of records and messages it understands. The first version says nothing. */
   speaks: v.optional(v.number()),
+  /** In the key of a node: it stands by for shards (docs/standby.md). */
+  stands: v.optional(v.boolean()),
 });
 export type Holder = v.InferOutput<typeof holder>;
 
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -14,6 +14,8 @@
   ask(node: string, op: string, args: unknown, timeoutMs: number): Promise<unknown>;
   /** Tells another node, without knowing whether it hears. */
   tell(node: string, op: string, args: unknown): void;
+  /** Whether the connection to another node stands, as far as this side knows. */
+  connected(node: string): boolean;
 }
 
 interface Pending {
@@ -79,6 +81,10 @@
     if (this.ready) this.write({ op, a: args });
   }
 
+  get connected(): boolean {
+    return this.ready;
+  }
+
   close(): void {
     this.closed = true;
     this.socket?.destroy();
@@ -177,6 +183,10 @@
     this.links.get(node)?.tell(op, args);
   }
 
+  connected(node: string): boolean {
+    return this.links.get(node)?.connected === true;
+  }
+
   /** Ends all connections, for good. */
   close(): void {
     this.server?.close();
--- a/src/shard/blame.ts
+++ b/src/shard/blame.ts
@@ -24,6 +24,8 @@
     private readonly jobs: ReadonlyMap<string, Job>,
     private readonly machines: ReadonlyMap<string, Machine>,
     private readonly log: Log,
+    /** A job has come under suspicion, or is no longer. */
+    private readonly changed: (job: Job) => void = () => undefined,
   ) {}
 
   failed(job: Job, m: Machine, now: number): void {
@@ -56,6 +58,7 @@
     if (!job.suspect) return;
     job.suspect = false;
     if (Number.isFinite(job.notBefore)) job.notBefore = 0;
+    this.changed(job);
     this.log.info({ job: job.spec.id }, 'job no longer suspected');
   }
 
@@ -91,6 +94,7 @@
     const pause = Math.min(RETRY_MOST_MS, RETRY_MS * 2 ** Math.min(6, job.failures));
     job.failures++;
     job.notBefore = Math.max(job.notBefore, now + pause);
+    this.changed(job);
   }
 
   /** Forgets the failures of jobs that are over. */
--- a/src/shard/estimates.ts
+++ b/src/shard/estimates.ts
@@ -21,6 +21,20 @@
     this.ratios.set(job.spec.class, r);
   }
 
+  /** What the classes have shown, for who takes over. */
+  classes(): Iterable<[string, Readonly<{ log: number; count: number }>]> {
+    return this.ratios;
+  }
+
+  classOf(name: string): Readonly<{ log: number; count: number }> | null {
+    return this.ratios.get(name) ?? null;
+  }
+
+  /** Takes over what the former owner has learnt. */
+  inherit(classes: Iterable<[string, { log: number; count: number }]>): void {
+    for (const [name, { log, count }] of classes) this.ratios.set(name, { log, count });
+  }
+
   runS(spec: JobSpec): number {
     return spec.estimateS * Math.exp(this.ratios.get(spec.class)?.log ?? 0);
   }
--- a/src/shard/progress.ts
+++ b/src/shard/progress.ts
@@ -3,7 +3,7 @@
 import type { Job } from '../jobs/job.js';
 import { type JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
 import type { Fleet, GoneWhy } from '../workers/fleet.js';
-import { type Held, noteImage } from '../workers/machine.js';
+import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import type { World } from '../world/world.js';
 import type { Blame } from './blame.js';
 import type { Estimates } from './estimates.js';
@@ -18,6 +18,14 @@
   stopped(): boolean;
   stir(): void;
   lostOwnership(): Error;
+  /** An attempt is surely no longer on its machine. */
+  left(job: Job, h: Held): void;
+  /** A task has begun to run, or a machine to hold an image. */
+  running(h: Held): void;
+  imaged(m: Machine): void;
+  learnt(job: Job): void;
+  /** When an attempt that was found running began to, as far as the former owner knew; steady milliseconds. */
+  ranSince(h: Held): number | null;
   /** A job is durably over. */
   over(job: Job, status: 'done' | 'cancelled'): void;
 }
@@ -50,6 +58,10 @@
       else if (other !== h) job.doubles.add(h);
       this.noteAttempt(job, h);
       this.noteImageOf(job, h);
+      if (h.state === 'running') {
+        h.runningAt = this.hooks.ranSince(h) ?? h.runningAt;
+        this.hooks.running(h);
+      }
     } else {
       this.changed(h);
     }
@@ -63,7 +75,9 @@
   private noteImageOf(job: Job, h: Held): void {
     if (h.state === 'fetching') return;
     const cache = this.world.catalog.get(h.machine.type)?.cacheGb ?? 0;
+    const known = h.machine.images.has(job.image);
     noteImage(h.machine, job.image, job.spec.imageGb, cache);
+    if (!known) this.hooks.imaged(h.machine);
   }
 
   changed(h: Held): void {
@@ -74,6 +88,7 @@
     }
     this.noteImageOf(job, h);
     if (h.state === 'exited') this.exited(job, h);
+    else if (h.state === 'running') this.hooks.running(h);
     this.hooks.stir();
   }
 
@@ -87,8 +102,10 @@
     );
     if (h.cause === 'done') {
       this.blame.succeeded(job, m);
-      if (h.runningAt !== null && h.exitedAt !== null)
+      if (h.runningAt !== null && h.exitedAt !== null) {
         this.estimates.learn(job, (h.exitedAt - h.runningAt) / 1000);
+        this.hooks.learnt(job);
+      }
       // The tasks of a gang complete together: if one is done, all are.
       job.unsettled.push(h);
       const indexes = job.spec.kind === 'gang' ? [...Array(job.spec.tasks).keys()] : [h.index];
@@ -129,6 +146,7 @@
    */
   private leave(job: Job, h: Held): void {
     job.doubles.delete(h);
+    this.hooks.left(job, h);
     if (job.places.get(h.index) !== h) return;
     job.places.delete(h.index);
     for (const other of job.doubles) {
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -1,10 +1,14 @@
 // In this room: one shard as its owner has it: acceptance, starts, preemption, demand, estimates, blame.
 import { pause } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
+import { partSockets } from '../config/settings.js';
 import { type Job, jobStatus, openCount } from '../jobs/job.js';
-import { JobRecords, NotOwner } from '../jobs/records.js';
+import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
 import { KEYS, type MachineRecord, readMachineRecord } from '../keys/keys.js';
 import type { Amounts } from '../plan/profile.js';
+import { mayDecide, surelyNowhere } from '../standby/checks.js';
+import type { Taken } from '../standby/follower.js';
+import type { Keeper } from '../standby/keeper.js';
 import { StateFailure } from '../state/store.js';
 import type { Gossip, Need } from '../supply/gossip.js';
 import { Supply } from '../supply/supply.js';
@@ -19,6 +23,7 @@
 import { Demand } from './demand.js';
 import { Draining } from './draining.js';
 import { Estimates } from './estimates.js';
+import { Inheritance } from './inheritance.js';
 import { Outlook } from './outlook.js';
 import { Planner } from './planner.js';
 import { Preemption } from './preemption.js';
@@ -26,6 +31,7 @@
 import { Questions } from './questions.js';
 import { Starts } from './starts.js';
 import { JobTable } from './table.js';
+import { Telling } from './telling.js';
 import { type Claim, type Standing, Waiting } from './waiting.js';
 
 const TICK_MS = 1000;
@@ -50,6 +56,8 @@
   private readonly progress: Progress;
   private readonly questions: Questions;
   private readonly draining: Draining;
+  private readonly telling: Telling | null;
+  private readonly inheritance: Inheritance;
   private readonly log: Log;
   private readonly claimedAt: number;
   private loaded = false;
@@ -59,6 +67,7 @@
   /** Before this moment there is no other plan. */
   private planNotBefore = 0;
   private toldAt = Number.NEGATIVE_INFINITY;
+  private toldAdopted = false;
 
   constructor(
     private readonly world: World,
@@ -67,6 +76,9 @@
     private readonly entitledNow: () => boolean,
     private readonly onLost: () => void,
     others: Others,
+    /** The owner's side of its standby, and what came from the former owner; null without one. */
+    private readonly keeper: Keeper | null = null,
+    private readonly taken: Taken | null = null,
   ) {
     this.log = world.log.child({ shard: index, term });
     this.claimedAt = world.clock.now();
@@ -85,6 +97,9 @@
       found: (h) => this.progress.found(h),
       changed: (h) => this.progress.changed(h),
       gone: (h, why) => this.progress.gone(h, why),
+      session: (m) => this.telling?.machine(m),
+      announce: (held) =>
+        this.keeper?.announce(held.map((h) => ({ job: h.job, machine: h.machine.id }))) ?? null,
       stir: () => this.stir(),
     });
     this.estimates = new Estimates(world, jobs);
@@ -100,7 +115,7 @@
       expectedEnd: (job, now) => this.planner.expectedEnd(job, now),
       runS: (spec) => this.estimates.runS(spec),
     });
-    this.blame = new Blame(jobs, this.fleet.machines, this.log);
+    this.blame = new Blame(jobs, this.fleet.machines, this.log, (job) => this.telling?.blamed(job));
     this.progress = new Progress(
       world,
       this.fleet,
@@ -113,7 +128,13 @@
         stopped: () => this.stopped,
         stir: () => this.stir(),
         lostOwnership: () => this.lostOwnership(),
+        left: (job, h) => this.telling?.left(job, h),
+        running: (h) => this.telling?.running(h),
+        imaged: (m) => this.telling?.machine(m),
+        learnt: (job) => this.telling?.learnt(job.spec.class),
+        ranSince: (h) => this.inheritance.ranSince(h),
         over: (job, status) => {
+          this.telling?.over(job);
           this.demand.forget(job.spec.id);
           this.waiting.over(job.spec.id, status, job);
           this.stir();
@@ -123,7 +144,7 @@
     this.starts = new Starts(world, term, this.fleet, jobs, this.log, {
       useOf: (h) => this.table.useOf(h),
       unseen: () => this.unseen(),
-      adopted: () => this.adopted,
+      nowhereElse: (job) => this.nowhereElse(job),
       withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
       lostOwnership: () => this.lostOwnership(),
     });
@@ -187,10 +208,20 @@
       },
     );
     this.draining = new Draining(this.fleet, jobs, this.estimates, TICK_MS);
+    this.inheritance = new Inheritance(world, taken?.warmth ?? null);
+    this.telling = keeper
+      ? new Telling(world, this.fleet, jobs, this.estimates, keeper, {
+          settled: (job) => this.nowhereElse(job),
+        })
+      : null;
   }
 
   get entitled(): boolean {
-    return !this.stopped && this.entitledNow();
+    return mayDecide({
+      stopped: this.stopped,
+      leased: this.entitledNow(),
+      promised: this.keeper?.mayAct ?? true,
+    });
   }
 
   get ready(): boolean {
@@ -201,16 +232,14 @@
     this.stopped = true;
     this.fleet.stop();
     this.waiting.stop();
+    this.keeper?.stop();
   }
 
   /** Loads what the state service has of the shard; tried again until it works or the shard is lost. */
   async start(): Promise<void> {
     while (!this.stopped) {
       try {
-        const [jobs, machines] = await Promise.all([
-          this.records.load(),
-          this.world.store.list(KEYS.machines),
-        ]);
+        const [jobs, machines] = await Promise.all([this.loadJobs(), this.world.store.list(KEYS.machines)]);
         if (this.stopped) return;
         const adopted = jobs.map((l) => this.progress.adopt(l));
         for (const job of adopted) {
@@ -223,9 +252,18 @@
           m.unknown = true;
           m.answeredAt = this.claimedAt;
         }
+        this.inheritance.give(adopted, this.fleet.machines.values(), this.estimates);
         this.loaded = true;
-        this.log.info({ jobs: jobs.length, machines: this.fleet.machines.size }, 'shard taken');
-        for (const m of this.fleet.machines.values()) void this.fleet.contact(m, null);
+        this.log.info(
+          { jobs: jobs.length, machines: this.fleet.machines.size, warm: this.taken !== null },
+          'shard taken',
+        );
+        const greeted = this.inheritance.greetingOrder([...this.fleet.machines.values()], adopted);
+        void this.fleet.greet(greeted, (m) => this.inheritance.session(m), this.greetAtOnce);
+        if (this.keeper && this.telling) {
+          this.keeper.source = this.telling;
+          this.keeper.start();
+        }
         this.loop();
         return;
       } catch (error) {
@@ -235,6 +273,19 @@
     }
   }
 
+  /** Jobs with all changes up to the claim: from what the standby has followed, else read anew. */
+  private async loadJobs(): Promise<LoadedJob[]> {
+    const followed = (await this.taken?.jobs(this.term)) ?? null;
+    if (!followed) return this.records.load();
+    this.log.info({ jobs: followed.jobs.length, changes: followed.changes }, 'records followed up');
+    return followed.jobs;
+  }
+
+  /** Half of the sockets for workers: answers and orders need some meanwhile. */
+  private get greetAtOnce(): number {
+    return Math.max(4, Math.floor(partSockets(this.world.settings.limits.maxSockets).workers / 2));
+  }
+
   private loop(): void {
     if (this.stopped) return;
     this.tick();
@@ -411,6 +462,17 @@
     return sum;
   }
 
+  /** Whether a task of a job that is not known to be anywhere is surely nowhere. */
+  private nowhereElse(job: Job): boolean {
+    const { machines } = this.fleet;
+    return surelyNowhere(
+      { fresh: job.fresh, id: job.spec.id },
+      this.taken?.warmth ?? null,
+      this.adopted,
+      (id) => machines.get(id)?.unknown === true,
+    );
+  }
+
   private get adopted(): boolean {
     for (const m of this.fleet.machines.values()) if (m.unknown) return false;
     return true;
@@ -419,6 +481,7 @@
   private tick(): void {
     this.guarded(() => {
       const now = this.world.clock.now();
+      this.tellAdopted();
       this.planner.press();
       this.waiting.tick(now);
       this.questions.endDoomed();
@@ -431,6 +494,13 @@
     });
   }
 
+  /** Once all machines are known it is sure of every job where it is, which the standby should know too. */
+  private tellAdopted(): void {
+    if (!this.keeper || this.toldAdopted || !this.adopted) return;
+    this.toldAdopted = true;
+    this.keeper.refresh();
+  }
+
   /** How the shard stands, for its operators: what each team runs and has waiting, and what its machines do. */
   private tell(now: number): void {
     if (now - this.toldAt < TELL_MS) return;
--- a/src/shard/starts.ts
+++ b/src/shard/starts.ts
@@ -2,6 +2,7 @@
 import { type Job, kindAllowed } from '../jobs/job.js';
 import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
+import { machineUsable, needsMet } from '../standby/checks.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet, StartOrder } from '../workers/fleet.js';
 import type { Held, Machine } from '../workers/machine.js';
@@ -20,8 +21,8 @@
   useOf(h: Held): { team: number; need: Amounts } | null;
   /** What machines that have not reported to this owner may hold. */
   unseen(): Amounts;
-  /** Whether all that an earlier owner may have started is known. */
-  adopted(): boolean;
+  /** Whether a task of a job that is not known to be anywhere is surely nowhere. */
+  nowhereElse(job: Job): boolean;
   /** Whether a machine is on its way to another shard or back to the cloud. */
   withheld(id: string): boolean;
   lostOwnership(): Error;
@@ -35,6 +36,8 @@
   /** Zones of the tasks that this round of starts has placed, by job. */
   private readonly pending = new Map<string, number[]>();
   private heldZones: Map<string, Map<number, number>> | null = null;
+  /** Of which jobs it is known in this round of starts whether they may be where nobody has looked. */
+  private readonly sure = new Map<Job, boolean>();
 
   constructor(
     private readonly world: World,
@@ -50,15 +53,15 @@
     const perMachine = new Map<Machine, StartOrder[]>();
     const free = new Map<Machine, Amounts>();
     this.heldZones = null;
+    this.sure.clear();
     const usage = this.teamUsage();
-    const adopted = this.hooks.adopted();
     const gangs = new Map<Job, { m: Machine; index: number }[]>();
     const singles: { job: Job; m: Machine; index: number }[] = [];
     for (const b of plan.bookings) {
       const m = refs[b.machine];
       const job = byOrder.get(b.job.id);
       if (!m || !job || b.start > now / 1000 + 0.01) continue;
-      if (!job.fresh && !adopted) continue;
+      if (!this.nowhere(job)) continue;
       if (job.spec.kind === 'gang') {
         const list = gangs.get(job) ?? [];
         list.push({ m, index: b.task });
@@ -98,6 +101,15 @@
     }
   }
 
+  private nowhere(job: Job): boolean {
+    let sure = this.sure.get(job);
+    if (sure === undefined) {
+      sure = this.hooks.nowhereElse(job);
+      this.sure.set(job, sure);
+    }
+    return sure;
+  }
+
   private mayStartLow(now: number): boolean {
     const perSecond = LOW_STARTS_PER_CORE * Math.min(1, this.world.settings.limits.cores);
     const saved = this.lowStarts + ((now - this.lowStartsAt) / 1000) * perSecond;
@@ -117,7 +129,7 @@
   ): boolean {
     if (job.state !== 'active' || job.notBefore > now) return false;
     // Whatever the plan says: not before all that it needs is known to be done.
-    if (job.waitsFor.size > 0 || job.doomed) return false;
+    if (!needsMet(job)) return false;
     const team = this.world.settings.teams[job.team];
     const use = usage.get(job.team);
     if (team && use) {
@@ -128,7 +140,7 @@
     const want = new Map<Machine, number>();
     for (const p of parts) want.set(p.m, (want.get(p.m) ?? 0) + 1);
     for (const [m, n] of want) {
-      if (!m.synced || m.leaving || m.lost || m.unknown || !m.addr || m.noticeUntil !== null) return false;
+      if (!machineUsable(m)) return false;
       if (this.hooks.withheld(m.id)) return false;
       if (m.unreachableAt !== null && now - m.unreachableAt < 6000) return false;
       if (fitCount(this.freeOn(m, free), job.need, n) < n) return false;
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../config/log.js';
 import { type Holder, KEYS, readHolder } from '../keys/keys.js';
 import { StateFailure, type StateStore } from '../state/store.js';
+import type { Condition, Write } from '../wire/state.js';
 import { Mirror } from './mirror.js';
 
 export const LEASE_MS = 8000;
@@ -18,6 +19,10 @@
   private lease: number | null = null;
   private validUntil = Number.NEGATIVE_INFINITY;
   private left = false;
+  private renewedAt = Number.NEGATIVE_INFINITY;
+  private failingSince: number | null = null;
+  /** Who takes a shard that this node has handed over, until the copy shows more than this node's own term. */
+  private readonly successors = new Map<number, { owner: Holder; term: number }>();
   /** Owners as the nodes themselves have told, where that is newer than what this copy shows. */
   private readonly told = new Map<number, { owner: Holder; term: number }>();
 
@@ -31,6 +36,8 @@
     private readonly onLost: () => void,
     /** Which level of records and messages this node understands. */
     private readonly speaks: number,
+    /** Whether this node stands by for shards. */
+    private readonly stands = false,
   ) {
     this.mirror = new Mirror(clock, store, KEYS.cluster, log, onChange);
   }
@@ -63,7 +70,7 @@
   }
 
   private get presence(): Holder {
-    return { ...this.holder, speaks: this.speaks };
+    return { ...this.holder, speaks: this.speaks, ...(this.stands && { stands: true }) };
   }
 
   /**
@@ -72,8 +79,7 @@
    */
   allSpeak(nodes: readonly string[], level: number): boolean {
     return nodes.every((n) => {
-      const e = this.mirror.entries.get(KEYS.node(n));
-      if (e) return (readHolder(e.value)?.speaks ?? 1) >= level;
+      if (this.present(n)) return (this.presenceOf(n)?.speaks ?? 1) >= level;
       const said = this.mirror.entries.get(KEYS.speaks(n))?.value;
       return typeof said === 'number' && said >= level;
     });
@@ -93,6 +99,8 @@
 
   owner(shard: number): Holder | null {
     const e = this.mirror.entries.get(KEYS.owner(shard));
+    const successor = this.successors.get(shard);
+    if (successor && (e?.version ?? 0) <= successor.term) return successor.owner;
     const told = this.told.get(shard);
     if (told && (e?.version ?? 0) < told.term) return told.owner;
     return e ? readHolder(e.value) : null;
@@ -106,6 +114,34 @@
     if (term > (this.told.get(shard)?.term ?? 0)) this.told.set(shard, { owner, term });
   }
 
+  /** A shard is handed over under a term; null: to nobody after all. */
+  handing(shard: number, to: Holder | null, term: number): void {
+    if (to) this.successors.set(shard, { owner: to, term });
+    else this.successors.delete(shard);
+  }
+
+  /** The node that this one has handed a shard to, as long as nothing newer is known. */
+  successor(shard: number): Holder | null {
+    const s = this.successors.get(shard);
+    return s && this.owner(shard) === s.owner ? s.owner : null;
+  }
+
+  /** How a node that is there has shown itself. */
+  presenceOf(node: string): Holder | null {
+    const e = this.mirror.entries.get(KEYS.node(node));
+    return e ? readHolder(e.value) : null;
+  }
+
+  /** How long ago a renewal of the lease was sent that the state service has answered. */
+  get renewedAgoMs(): number {
+    return this.clock.now() - this.renewedAt;
+  }
+
+  /** For how long no renewal has been answered; 0 while they are. */
+  get failingMs(): number {
+    return this.failingSince === null ? 0 : this.clock.now() - this.failingSince;
+  }
+
   /** Whether what is known of a shard's owner comes from that owner. */
   heard(shard: number): boolean {
     return this.told.has(shard);
@@ -115,6 +151,7 @@
   ownerChanged(shard: number): void {
     const e = this.mirror.entries.get(KEYS.owner(shard));
     if (!e || e.version >= (this.told.get(shard)?.term ?? 0)) this.told.delete(shard);
+    if (e && e.version > (this.successors.get(shard)?.term ?? 0)) this.successors.delete(shard);
   }
 
   leader(): string | null {
@@ -128,8 +165,7 @@
 
   /** Whether a node leaves its shards to others. */
   aside(node: string): boolean {
-    const e = this.mirror.entries.get(KEYS.node(node));
-    return (e && readHolder(e.value)?.aside) === true;
+    return this.presenceOf(node)?.aside === true;
   }
 
   /** Tells the others whether this node takes shards. */
@@ -176,6 +212,8 @@
 
   private extend(sent: number): void {
     this.validUntil = Math.max(this.validUntil, sent + LEASE_MS * (1 - 2 * DRIFT) - MARGIN_MS);
+    this.renewedAt = Math.max(this.renewedAt, sent);
+    this.failingSince = null;
   }
 
   /** Gives up the lease and all that hangs on it, for good. */
@@ -193,6 +231,7 @@
       await pause(this.clock, wait);
       if (this.left) return;
       wait = RETRY_MS;
+      const begun = this.clock.now();
       try {
         if (this.lease === null) {
           await this.join();
@@ -211,6 +250,7 @@
           wait = 0;
         }
       } catch (error) {
+        this.failingSince ??= begun;
         this.log.debug({ error: String(error) }, 'renewal failed');
       }
     }
@@ -218,29 +258,42 @@
 
   /** Tries to take a key that nobody holds; returns its version, the term, when this node has it. */
   async claim(key: string): Promise<number | null> {
-    if (!this.valid || this.lease === null) return null;
+    try {
+      return await this.replace(key, 0, [], []);
+    } catch (error) {
+      this.log.debug({ key, error: String(error) }, 'claim failed');
+      return null;
+    }
+  }
+
+  /**
+   * Takes a key at a version, with further conditions and writes in the same transaction. Returns the key's new version when
+   * this node has it under its present lease, null when it surely has not and never will by this try; throws `StateFailure`
+   * when the state service did not say.
+   */
+  async replace(key: string, version: number, when: Condition[], writes: Write[]): Promise<number | null> {
+    // Not null: an earlier try that got no answer may still be applied.
+    if (!this.valid || this.lease === null) throw new StateFailure('no lease', false);
     const lease = this.lease;
     try {
-      const result = await this.store.txn([{ key, version: 0 }], [{ put: key, value: this.holder, lease }]);
+      const own = { put: key, value: this.holder, lease };
+      const result = await this.store.txn([{ key, version }, ...when], [own, ...writes], version > 0);
       if (result.ok) {
         this.mirror.apply({ key, value: { ...this.holder, lease }, version: result.revision });
         return this.lease === lease ? result.revision : null;
       }
       if (!result.failed.includes(key)) return null;
     } catch (error) {
-      if (!(error instanceof StateFailure) || !error.maybe) {
-        this.log.debug({ key, error: String(error) }, 'claim failed');
-        return null;
-      }
+      if (!(error instanceof StateFailure) || !error.maybe) throw error;
     }
-    try {
-      const e = await this.store.get(key);
-      const holder = e && readHolder(e.value);
-      if (!e || !holder) return null;
-      this.mirror.apply(e);
-      return this.holds(e.value) ? e.version : null;
-    } catch {
-      return null;
+    const e = await this.store.get(key);
+    const holder = e && readHolder(e.value);
+    if (!e || !holder) {
+      if (version > 0 && !e) return null;
+      throw new StateFailure(`${key} is not decided`, true);
     }
+    this.mirror.apply(e);
+    if (e.version === version) throw new StateFailure(`${key} is not decided`, true);
+    return this.holds(e.value) ? e.version : null;
   }
 }
--- a/src/shards/mirror.ts
+++ b/src/shards/mirror.ts
@@ -15,7 +15,8 @@
 export class Mirror {
   readonly entries = new Map<string, Entry>();
   ready = false;
-  private revision = 0;
+  /** All changes up to this revision are in the copy. */
+  revision = 0;
 
   constructor(
     private readonly clock: Clock,
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -17,6 +17,7 @@
 import { MAILED, Owners } from './owners.js';
 import { Ownership } from './ownership.js';
 import { Routing } from './routing.js';
+import type { Standbys } from './standbys.js';
 
 export type ReportAnswer =
   | { kind: 'orders'; body: object }
@@ -25,6 +26,9 @@
   | { kind: 'busy'; known: boolean };
 
 const GOSSIP_MS = 500;
+/** Questions to the owner of a shard, which go on to the next one while the shard changes hands. */
+const FOR_OWNERS = new Set(['submit', 'submitAfter', 'status', 'cancel', 'list']);
+const SWITCH_MS = 1500;
 const GONE_KEPT = 2000;
 
 /** One controller: the shards it owns, the leadership when it has it, and the way to everybody else's. */
@@ -40,7 +44,11 @@
   private leaving = false;
   private mesh: Mesh | null = null;
 
-  constructor(private readonly world: World) {
+  constructor(
+    private readonly world: World,
+    /** For a node that has standbys for its shards, and stands by for others'; loaded only there. */
+    private readonly standbys: typeof Standbys | null = null,
+  ) {
     const s = world.settings;
     this.members = new Members(
       world.clock,
@@ -51,6 +59,7 @@
       (key, entry) => this.changed(key, entry),
       () => this.own.dropAll(),
       world.matcher ? MATCH_LEVEL : LEVEL,
+      standbys !== null,
     );
     const shards = () => this.own.shards;
     this.mailbox = new Mailbox(world, this.members.mirror, (shard, op, args) => {
@@ -60,6 +69,7 @@
     const nodes = [s.node, ...s.peers.map((p) => p.node)];
     this.owners = new Owners(world, this.members, this.mailbox, shards, nodes, {
       locate: (id) => this.routing.locate(id),
+      soon: (shard) => this.own.soon(shard),
     });
     this.routing = new Routing(world, this.members, this.owners, shards);
     this.own = new Ownership(world, this.members, this.owners.others, {
@@ -79,6 +89,7 @@
   async start(mesh: Mesh): Promise<void> {
     this.mesh = mesh;
     this.owners.mesh = mesh;
+    if (this.standbys) this.own.standbys = this.makeStandbys(this.standbys, mesh);
     this.cloud.start();
     void this.mailbox.sweep();
     this.gossipLoop();
@@ -89,10 +100,22 @@
   /** A planned end: whoever is next need not wait for the lease to run out. */
   async leave(): Promise<void> {
     this.leaving = true;
-    this.own.dropAll();
+    await this.own.leave();
     await this.members.leave();
   }
 
+  private makeStandbys(made: typeof Standbys, mesh: Mesh): Standbys {
+    return new made(this.world, this.members, mesh, {
+      home: (shard) => this.own.home(shard),
+      order: this.own.order,
+      zoneOf: (node) => this.own.zones.get(node) ?? '',
+      aside: () => this.own.reach.aside || this.leaving,
+      taken: (shard, term, from) => this.own.take(shard, term, from),
+      lost: (shard, term) => this.own.superseded(shard, term + 1),
+      stir: (shard) => this.own.shards.get(shard)?.stir(),
+    });
+  }
+
   get healthy(): boolean {
     return !this.leaving && this.members.mirror.ready && this.world.catalog.known;
   }
@@ -128,9 +151,19 @@
   }
 
   /** What another controller asks. */
-  async serve(op: string, args: unknown): Promise<unknown> {
+  async serve(op: string, args: unknown, from = ''): Promise<unknown> {
     const a = (typeof args === 'object' && args !== null ? args : {}) as Record<string, unknown>;
+    if (FOR_OWNERS.has(op) && !this.own.shards.get(Number(a.shard))?.ready) {
+      // Just handed over by this node, or to it: whoever asked need not notice.
+      const next = this.members.successor(Number(a.shard));
+      if (next && this.mesh) return this.mesh.ask(next.node, op, a, SWITCH_MS);
+      await this.own.soon(Number(a.shard));
+    }
     switch (op) {
+      case 'stand':
+        return this.own.standbys?.follower.hear(args, from) ?? null;
+      case 'assume':
+        return this.own.assume(a);
       case 'gossip': {
         const told = readGossip(args);
         if (told) this.own.leader?.hear(told);
--- a/src/shards/owners.ts
+++ b/src/shards/owners.ts
@@ -26,6 +26,8 @@
 
 export interface OwnersHooks {
   locate(id: string): Promise<JobEntry | null>;
+  /** Waits a little for a shard that is just being handed over to this node. */
+  soon(shard: number): Promise<void>;
 }
 
 /** The way to a shard's owner, wherever it is: here, directly, or by letter. */
@@ -81,6 +83,7 @@
     here: (s: Shard) => Promise<T>,
     mayMail = true,
   ): Promise<T> {
+    if (this.shards().get(shard)?.ready === false) await this.hooks.soon(shard);
     const local = this.shards().get(shard);
     if (local) return here(local);
     const owner = this.members.owner(shard);
--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -2,11 +2,15 @@
 import { KEYS, readMachineRecord } from '../keys/keys.js';
 import type { Others } from '../shard/answers.js';
 import { Shard } from '../shard/shard.js';
+import { termIsNew } from '../standby/checks.js';
+import type { Taken } from '../standby/follower.js';
+import type { Keeper } from '../standby/keeper.js';
 import { WORKER_PATHS } from '../wire/workers.js';
 import type { World } from '../world/world.js';
 import { Leader, type LeaderHooks } from './leader.js';
 import type { Members } from './members.js';
 import { Reach } from './reach.js';
+import type { Standbys } from './standbys.js';
 
 const CLAIM_MS = 200;
 /** How long a shard stays its dead home node's to take again. */
@@ -18,6 +22,13 @@
 const PROBES = 5;
 const PROBES_ANSWERED = 3;
 const PROBE_MS = 1500;
+/** An owner that has not been served for so long, while its standby was, is cut off from the state service. */
+const CUT_OFF_MS = 2500;
+/** What a home node that stands by may take to be level; then its shard goes back without. */
+const LEVEL_MS = 20_000;
+/** Questions for a shard that is just changing hands wait no longer than this. */
+const SOON_MS = 500;
+const SOON_STEP_MS = 20;
 
 /** What this node owns: the shards that it takes, gives back and leaves to others, and the leadership when it has it. */
 export class Ownership {
@@ -26,7 +37,7 @@
   leader: Leader | null = null;
   /** All nodes of the settings, in the order in which they take what nobody has. */
   readonly order: string[];
-  private readonly zones: Map<string, string>;
+  readonly zones: Map<string, string>;
   private readonly ownerGoneSince = new Map<string, number>();
   private readonly homeSince = new Map<number, number>();
   private probing = false;
@@ -36,6 +47,11 @@
    */
   private readonly spentTerms = new Set<number>();
   private readonly claiming = new Set<string>();
+  private readonly keepers = new Map<number, Keeper>();
+  /** Shards that another node hands over to this one at this moment. */
+  private readonly arriving = new Set<number>();
+  /** Where standbys are enabled. */
+  standbys: Standbys | null = null;
 
   constructor(
     private readonly world: World,
@@ -55,9 +71,16 @@
 
   /** Looks at what nobody has, and at what this node has, from now on. */
   start(): void {
+    this.standbys?.start();
     this.claimLoop();
   }
 
+  /** A planned end: each shard with a level standby goes to it. */
+  async leave(): Promise<void> {
+    await Promise.all([...this.shards.values()].map((s) => this.switchOver(s, 'leaving')));
+    this.dropAll();
+  }
+
   dropAll(): void {
     for (const shard of [...this.shards.values()]) this.drop(shard);
     this.leader?.stop();
@@ -67,12 +90,15 @@
   private drop(shard: Shard): void {
     shard.stop();
     this.spentTerms.add(shard.term);
-    if (this.shards.get(shard.index) === shard) this.shards.delete(shard.index);
+    if (this.shards.get(shard.index) !== shard) return;
+    this.shards.delete(shard.index);
+    this.keepers.delete(shard.index);
   }
 
   private claimLoop(): void {
     if (this.members.valid && this.members.mirror.ready) {
       this.considerStandingAside();
+      this.considerGivingUp();
       for (let k = 0; k < this.world.settings.nodes; k++) this.consider(k);
       this.considerLeading();
     }
@@ -103,11 +129,76 @@
     this.reach.standAside();
     this.world.log.warn({ machines: known }, 'workers cannot reach this node: leaving its shards to others');
     const shards = [...this.shards.values()];
-    for (const s of shards) this.drop(s);
+    const left = shards.filter((s) => !this.successorOf(s));
+    for (const s of left) this.drop(s);
+    for (const s of shards) if (!left.includes(s)) void this.switchOver(s, 'workers cannot reach this node');
     void this.members
       .tellAside(true)
       .catch((error) => this.world.log.info({ error: String(error) }, 'standing aside not told'))
-      .then(() => Promise.all(shards.map((s) => this.release(s.index, s.term))));
+      .then(() => Promise.all(left.map((s) => this.release(s.index, s.term))));
+  }
+
+  // --- switches to a standby that is level
+
+  private successorOf(shard: Shard): string | null {
+    const keeper = this.keepers.get(shard.index);
+    return keeper && shard.ready && this.standbys ? this.standbys.successor(keeper) : null;
+  }
+
+  /**
+   * Hands a shard to its level standby: this node ends it first, for good, and sends users and machines on at once. True when
+   * the standby has it; else the key is given up, as without a standby.
+   */
+  private async switchOver(shard: Shard, why: string): Promise<boolean> {
+    const to = this.successorOf(shard);
+    const keeper = this.keepers.get(shard.index);
+    const successor = to === null ? null : this.members.presenceOf(to);
+    if (!keeper || !successor) return false;
+    const { index: k, term } = shard;
+    this.world.log.info({ shard: k, to, why }, 'handing over');
+    const key = KEYS.owner(k);
+    this.claiming.add(key);
+    this.drop(shard);
+    this.members.handing(k, successor, term);
+    const begun = this.world.clock.now();
+    try {
+      const taken = await keeper.handOver();
+      this.world.log.info(
+        { shard: k, to, taken, ms: Math.round(this.world.clock.now() - begun) },
+        'handed over',
+      );
+      if (taken) return true;
+      this.members.handing(k, null, term);
+      await this.release(k, term);
+      return false;
+    } finally {
+      this.claiming.delete(key);
+    }
+  }
+
+  /** An owner that the state service serves no more, while it serves its standby, need not wait for its lease to run out. */
+  private considerGivingUp(): void {
+    const { failingMs } = this.members;
+    if (failingMs < CUT_OFF_MS) return;
+    for (const s of [...this.shards.values()]) {
+      const ago = this.keepers.get(s.index)?.standbyStateAgoMs ?? null;
+      if (ago !== null && ago < failingMs - 500) void this.switchOver(s, 'cut off from the state service');
+    }
+  }
+
+  /** Lets a question wait a little for a shard that is being handed over to this node. */
+  async soon(k: number): Promise<void> {
+    const until = this.world.clock.now() + SOON_MS;
+    const coming = () => this.arriving.has(k) && !this.shards.get(k)?.ready;
+    while (coming() && this.world.clock.now() < until) await pause(this.world.clock, SOON_STEP_MS);
+  }
+
+  /** The owner of a shard hands it over to this node. */
+  async assume(args: Record<string, unknown>): Promise<boolean> {
+    const k = Number(args.shard);
+    this.arriving.add(k);
+    this.world.clock.after(SOON_MS * 4, () => this.arriving.delete(k));
+    return (await this.standbys?.follower.assume(args)) ?? false;
   }
 
   private async probe(): Promise<void> {
@@ -152,10 +243,6 @@
     }
   }
 
-  private home(shard: number): string {
-    return this.order[shard % this.order.length]!;
-  }
-
   /**
    * How long this node waits before it takes a key that nobody holds: first the home node, then the others in turn.
    * Nobody waits for one that stands aside.
@@ -182,9 +269,9 @@
         // Somebody else's, or a newer term of this node's.
         if (entry.version > mine.term) this.drop(mine);
       }
-      if (here && !this.shards.has(k) && !this.claiming.has(key)) {
+      if (here && !this.shards.has(k) && !this.claiming.has(key) && !this.members.successor(k)) {
         // A claim that was thought lost has been made after all; or the key of a former ownership is still there.
-        if (this.spentTerms.has(entry.version)) this.releaseSpent(k, entry.version);
+        if (!termIsNew(entry.version, this.spentTerms)) this.releaseSpent(k, entry.version);
         else this.take(k, entry.version);
       }
       if (here && this.shards.has(k)) this.considerHandBack(k);
@@ -206,9 +293,16 @@
       .finally(() => this.claiming.delete(key));
   }
 
-  private take(k: number, term: number): void {
+  home(shard: number): string {
+    return this.order[shard % this.order.length]!;
+  }
+
+  /** A shard's key is this node's, under a term. */
+  take(k: number, term: number, taken: Taken | null = null): void {
     const lease = this.members.leaseId;
-    if (lease === null) return;
+    if (lease === null || this.shards.has(k)) return;
+    const keeper = this.standbys?.keeper(k, term, lease) ?? null;
+    if (keeper) this.keepers.set(k, keeper);
     const shard: Shard = new Shard(
       this.world,
       k,
@@ -216,6 +310,8 @@
       () => this.members.validUnder(lease),
       () => this.drop(shard),
       this.others,
+      keeper,
+      taken,
     );
     this.shards.set(k, shard);
     this.leading.tellOwns(k, term);
@@ -241,12 +337,29 @@
     if (now - since < HAND_BACK_AFTER_MS) return;
     const shard = this.shards.get(k)!;
     if (!shard.ready) return;
+    if (this.standbys?.stands(home)) {
+      if (!this.gainsByGoingHome(home)) return;
+      if (this.successorOf(shard) === home) {
+        this.homeSince.delete(k);
+        void this.switchOver(shard, 'going home');
+        return;
+      }
+      if (now - since < HAND_BACK_AFTER_MS + LEVEL_MS) return;
+    }
     this.homeSince.delete(k);
     this.world.log.info({ shard: k, to: home }, 'handing back');
     this.drop(shard);
     this.releaseSpent(k, shard.term);
   }
 
+  /** Each way costs all machines a greeting: it is worth it when the home node has less to do, or is nearer to them. */
+  private gainsByGoingHome(home: string): boolean {
+    if (this.zones.get(home) !== this.world.settings.zone) return true;
+    let owned = 0;
+    for (let i = 0; i < this.order.length; i++) if (this.members.owner(i)?.node === home) owned++;
+    return owned < this.shards.size;
+  }
+
   private releaseSpent(k: number, term: number): void {
     const key = KEYS.owner(k);
     this.claiming.add(key);
--- /dev/null
+++ b/src/shards/standbys.ts
@@ -0,0 +1,136 @@
+import { KEYS, readMachineRecord } from '../keys/keys.js';
+import type { Mesh } from '../peer/mesh.js';
+import { chooseStandby, StruckOff } from '../standby/choice.js';
+import { Follower, type Taken } from '../standby/follower.js';
+import { Keeper } from '../standby/keeper.js';
+import { RecordCopy } from '../standby/records.js';
+import type { World } from '../world/world.js';
+import type { Members } from './members.js';
+
+const TELL_MS = 15_000;
+/** A standby whose lease was renewed no longer ago than this reaches the state service. */
+const STATE_RECENT_MS = 3500;
+
+export interface StandbysHooks {
+  /** The node that a shard is at home on. */
+  home(shard: number): string;
+  order: readonly string[];
+  zoneOf(node: string): string;
+  /** This node takes no shard, since the workers cannot reach it. */
+  aside(): boolean;
+  /** A shard has been taken over under a new term. */
+  taken(shard: number, term: number, from: Taken): void;
+  /** Somebody else has a shard that was this node's under a term. */
+  lost(shard: number, term: number): void;
+  stir(shard: number): void;
+}
+
+/** Who stands by for this node's shards, and for which others' it does; one for a node where that is enabled. */
+export class Standbys {
+  readonly follower: Follower;
+  private readonly records: RecordCopy;
+  private readonly struck = new StruckOff();
+  private toldAt = 0;
+
+  constructor(
+    private readonly world: World,
+    private readonly members: Members,
+    private readonly mesh: Mesh,
+    private readonly hooks: StandbysHooks,
+  ) {
+    const { clock, log } = world;
+    this.records = new RecordCopy(world, log);
+    this.follower = new Follower(this.records, log, {
+      now: () => clock.now(),
+      after: (ms, run) => void clock.after(ms, run),
+      run: world.run,
+      mayTake: () => members.valid && members.mirror.ready && !hooks.aside(),
+      connected: (node) => mesh.connected(node),
+      seen: (shard) => ({
+        owner: members.mirror.entries.get(KEYS.owner(shard))?.version ?? 0,
+        standby: members.mirror.entries.get(KEYS.standby(shard))?.version ?? 0,
+        revision: members.mirror.revision,
+      }),
+      stateAgoMs: () => members.renewedAgoMs,
+      claim: (shard, term, revision) => {
+        const key = KEYS.standby(shard);
+        return members.replace(KEYS.owner(shard), term, [{ key, version: revision }], [{ delete: key }]);
+      },
+      taken: (shard, term, from) => hooks.taken(shard, term, from),
+    });
+  }
+
+  start(): void {
+    this.follower.start();
+    this.tell();
+  }
+
+  /** The owner's side of a shard that is this node's now. */
+  keeper(shard: number, term: number, lease: number): Keeper {
+    const log = this.world.log.child({ shard, term });
+    return new Keeper(this.world, this.mesh, shard, term, this.struck, log, {
+      leased: () => this.members.validUnder(lease),
+      lease: () => (this.members.validUnder(lease) ? lease : null),
+      choose: () => this.choose(shard),
+      homeBack: () => {
+        const home = this.hooks.home(shard);
+        return home !== this.world.settings.node && this.fit(home) ? home : null;
+      },
+      present: (node) => this.members.presenceOf(node),
+      lost: () => this.hooks.lost(shard, term),
+      stir: () => this.hooks.stir(shard),
+    });
+  }
+
+  /** Whether a node stands by for shards. */
+  stands(node: string): boolean {
+    return this.members.presenceOf(node)?.stands === true;
+  }
+
+  /** The node that can take a shard over at once and reaches the state service; null when there is none. */
+  successor(keeper: Keeper): string | null {
+    const ago = keeper.standbyStateAgoMs;
+    return ago !== null && ago < STATE_RECENT_MS ? keeper.levelStandby : null;
+  }
+
+  private fit(node: string): boolean {
+    if (this.struck.waits(node, this.world.clock.now())) return false;
+    return this.stands(node) && !this.members.aside(node) && this.mesh.connected(node);
+  }
+
+  private choose(shard: number): string | null {
+    const { entries } = this.members.mirror;
+    const machines = new Map<string, number>();
+    const load = new Map<string, number>();
+    const count = (map: Map<string, number>, key: string | undefined) => {
+      if (key !== undefined) map.set(key, (map.get(key) ?? 0) + 1);
+    };
+    for (const [key, e] of entries) {
+      if (!key.startsWith(KEYS.machines)) continue;
+      const m = readMachineRecord(e.value);
+      if (m?.shard === shard) count(machines, m.zone);
+    }
+    for (let k = 0; k < this.world.settings.nodes; k++) {
+      count(load, this.members.owner(k)?.node);
+      count(load, (entries.get(KEYS.standby(k))?.value as { node?: string } | undefined)?.node);
+    }
+    return chooseStandby({
+      owner: this.world.settings.node,
+      home: this.hooks.home(shard),
+      order: this.hooks.order,
+      fit: (node) => this.fit(node),
+      load: (node) => load.get(node) ?? 0,
+      zoneOf: (node) => this.hooks.zoneOf(node),
+      machines,
+    });
+  }
+
+  private tell(): void {
+    const now = this.world.clock.now();
+    if (now - this.toldAt >= TELL_MS && this.follower.count > 0) {
+      this.toldAt = now;
+      this.world.log.info({ shards: this.follower.told(), records: this.records.size }, 'standing by for');
+    }
+    this.world.clock.after(TELL_MS / 3, () => this.tell());
+  }
+}
--- /dev/null
+++ b/src/standby/checks.ts
@@ -0,0 +1,64 @@
+import type { Warmth } from './copy.js';
+
+/**
+ * What is checked before a shard's new owner decides (docs/standby.md). What the former owner told is a hint; each check
+ * says by what it is confirmed, and what it is against. No decision waits for one that it does not need.
+ */
+
+/** A key of a former ownership, or a claim thought lost, must not be taken up: its tokens and attempts have been used. */
+export function termIsNew(term: number, spent: ReadonlySet<number>): boolean {
+  return !spent.has(term);
+}
+
+/**
+ * Records are complete only when all changes up to the claim's revision are in them: until then an end or a cancellation that
+ * the former owner told its user may be missing. After it no write of the former owner is applied any more.
+ */
+export function recordsComplete(readTo: number, term: number): boolean {
+  return readTo >= term;
+}
+
+/** Asked just before each step, so that a freeze or a drifting clock between two steps is found. */
+export function mayDecide(facts: { stopped: boolean; leased: boolean; promised: boolean }): boolean {
+  return !facts.stopped && facts.leased && facts.promised;
+}
+
+export interface MachineFacts {
+  synced: boolean;
+  leaving: boolean;
+  lost: boolean;
+  unknown: boolean;
+  addr: string;
+  noticeUntil: number | null;
+}
+
+/**
+ * Only a report under the new token makes sure that no order of the former owner's can still be executed there; a machine
+ * that is leaving or under notice is on its way to somebody else.
+ */
+export function machineUsable(m: MachineFacts): boolean {
+  return m.synced && !m.leaving && !m.lost && !m.unknown && m.addr !== '' && m.noticeUntil === null;
+}
+
+/** Not before all that it needs is durably done, and never what is about to be cancelled with one of those. */
+export function needsMet(job: { waitsFor: { size: number }; doomed: boolean }): boolean {
+  return job.waitsFor.size === 0 && !job.doomed;
+}
+
+/**
+ * Whether a task that is not known to be anywhere is surely nowhere. A job accepted under this term was never started by
+ * anybody else. Of others, every machine on which the former owner announced a start has to have reported under the new token
+ * or to have surely lost its lease; without announcements, every machine of the shard.
+ */
+export function surelyNowhere(
+  job: { fresh: boolean; id: string },
+  warmth: Warmth | null,
+  adopted: boolean,
+  unseen: (machine: string) => boolean,
+): boolean {
+  if (job.fresh || adopted) return true;
+  const machines = warmth?.mayBeOn(job.id) ?? null;
+  if (machines === null) return false;
+  for (const m of machines) if (unseen(m)) return false;
+  return true;
+}
--- /dev/null
+++ b/src/standby/follower.ts
@@ -0,0 +1,191 @@
+import type { Log } from '../config/log.js';
+import type { LoadedJob } from '../jobs/records.js';
+import { WarmCopy, type Warmth } from './copy.js';
+import { readAssumeMessage, readStandMessage, type StandAnswer } from './messages.js';
+import { answering, claiming, mayClaim, releasing, type Vigil } from './promise.js';
+import type { RecordCopy } from './records.js';
+
+const LOOK_MS = 100;
+/**
+ * An owner that answers nothing while its connection stands may only be slow, or stand still for a moment. To take its shard
+ * over costs more than to wait a little longer; one whose connections are refused is over as soon as its promise is.
+ */
+const SILENT_MS = 3500;
+const CLAIM_AGAIN_MS = 200;
+
+export interface FollowerHooks {
+  now(): number;
+  after(ms: number, run: () => void): void;
+  run: string;
+  /** Whether this node may take shards: its lease lasts, it knows the keys, the workers reach it. */
+  mayTake(): boolean;
+  /** Whether the connection to a node stands. */
+  connected(node: string): boolean;
+  /** Versions of a shard's owner key and standby key as this node's copy shows them, and how new that copy is. */
+  seen(shard: number): { owner: number; standby: number; revision: number };
+  /** How long ago the state service last renewed this node's lease. */
+  stateAgoMs(): number;
+  /** Replaces the owner's key: the new term; null when that surely failed for good; throws when it may be tried again. */
+  claim(shard: number, term: number, revision: number): Promise<number | null>;
+  /** The shard is this node's. */
+  taken(shard: number, term: number, from: Taken): void;
+}
+
+/** What comes with a shard that was taken over. */
+export interface Taken {
+  warmth: Warmth;
+  /** Its unfinished jobs with all changes up to a revision; null when they are to be read anew. */
+  jobs(revision: number): Promise<{ jobs: LoadedJob[]; changes: number } | null>;
+  /** The former owner has said that it acts no more. */
+  released: boolean;
+  owner: string;
+}
+
+interface Followed {
+  vigil: Vigil;
+  owner: string;
+  copy: WarmCopy;
+  changes: number;
+  claimingNow: boolean;
+  claimAt: number;
+}
+
+/** The standby's side, for all shards that this node stands by for: follows them, and claims when a promise is over. */
+export class Follower {
+  private readonly shards = new Map<number, Followed>();
+
+  constructor(
+    private readonly records: RecordCopy,
+    private readonly log: Log,
+    private readonly hooks: FollowerHooks,
+  ) {}
+
+  start(): void {
+    this.loop();
+  }
+
+  /** How many shards this node stands by for. */
+  get count(): number {
+    return this.shards.size;
+  }
+
+  /** A message of an owner; null when it is not answered. */
+  hear(args: unknown, from: string): StandAnswer | null {
+    const m = readStandMessage(args);
+    // A run of this node before this one may have sent a claim that is still under way: it is not this one's to answer for.
+    if (!m || m.run !== this.hooks.run) return null;
+    const known = this.shards.get(m.shard);
+    const vigil = answering(known?.vigil ?? null, m.term, m.revision, this.hooks.now());
+    if (!vigil) return null;
+    let f = known;
+    if (!f || f.vigil.term !== m.term || f.vigil.revision !== m.revision) {
+      f = {
+        vigil,
+        owner: from,
+        copy: new WarmCopy(),
+        changes: m.changes,
+        claimingNow: false,
+        claimAt: Number.NEGATIVE_INFINITY,
+      };
+      this.shards.set(m.shard, f);
+      this.records.follow(m.shard);
+      this.log.info({ shard: m.shard, term: m.term, owner: from }, 'standing by');
+    }
+    f.vigil = vigil;
+    f.copy.take(m.from, m.records);
+    if (m.changes !== f.changes) {
+      f.changes = m.changes;
+      this.records.changed();
+    }
+    return { next: f.copy.next, stateAgoMs: this.hooks.stateAgoMs() };
+  }
+
+  /** The owner hands a shard over: true once it is this node's. */
+  async assume(args: unknown): Promise<boolean> {
+    const m = readAssumeMessage(args);
+    const f = m && this.shards.get(m.shard);
+    const vigil = f ? releasing(f.vigil, m.term, m.revision) : null;
+    if (!f || !vigil || m.run !== this.hooks.run || !this.hooks.mayTake()) return false;
+    f.vigil = vigil;
+    return this.claim(m.shard, f);
+  }
+
+  private loop(): void {
+    for (const [shard, f] of this.shards) this.look(shard, f);
+    this.hooks.after(LOOK_MS, () => this.loop());
+  }
+
+  private look(shard: number, f: Followed): void {
+    const now = this.hooks.now();
+    const seen = this.hooks.seen(shard);
+    const { term, revision } = f.vigil;
+    // Struck off, or a later owner's: what this copy shows is newer than what the vigil is for.
+    const over = (version: number, mine: number) =>
+      version > mine || (version === 0 && seen.revision >= revision);
+    if (!f.claimingNow && (over(seen.owner, term) || over(seen.standby, revision))) {
+      this.leave(shard, f);
+      return;
+    }
+    if (f.claimingNow || !this.hooks.mayTake()) return;
+    if (f.vigil.claimed) {
+      // Not executed the first time: nothing has been answered since, so that it stands as it did.
+      if (now - f.claimAt > CLAIM_AGAIN_MS) void this.claim(shard, f);
+      return;
+    }
+    if (!mayClaim(f.vigil, now)) return;
+    const silentMs = now - f.vigil.answeredAt;
+    if (!f.vigil.released && this.hooks.connected(f.owner) && silentMs < SILENT_MS) return;
+    this.log.info({ shard, owner: f.owner, silentMs: Math.round(silentMs) }, 'owner is silent: taking over');
+    void this.claim(shard, f);
+  }
+
+  private leave(shard: number, f: Followed): void {
+    if (this.shards.get(shard) !== f) return;
+    this.shards.delete(shard);
+    this.records.leave(shard);
+  }
+
+  private async claim(shard: number, f: Followed): Promise<boolean> {
+    if (f.claimingNow) return false;
+    f.vigil = claiming(f.vigil);
+    f.claimingNow = true;
+    f.claimAt = this.hooks.now();
+    const { term, revision, released } = f.vigil;
+    try {
+      const taken = await this.hooks.claim(shard, term, revision);
+      if (this.shards.get(shard) === f) this.shards.delete(shard);
+      if (taken === null) {
+        this.records.leave(shard);
+        return false;
+      }
+      this.hooks.taken(shard, taken, {
+        warmth: f.copy,
+        jobs: async (upTo) => {
+          try {
+            return await this.records.upTo(upTo, shard);
+          } finally {
+            this.records.leave(shard);
+          }
+        },
+        released,
+        owner: f.owner,
+      });
+      return true;
+    } catch (error) {
+      this.log.info({ shard, error: String(error) }, 'taking over is tried again');
+      return false;
+    } finally {
+      f.claimingNow = false;
+    }
+  }
+
+  /** For those on call: what this node stands by for, and how much it keeps. */
+  told(): { shard: number; owner: string; level: boolean; kept: number }[] {
+    return [...this.shards].map(([shard, f]) => ({
+      shard,
+      owner: f.owner,
+      level: f.copy.level,
+      kept: f.copy.size,
+    }));
+  }
+}
--- /dev/null
+++ b/src/standby/records.ts
@@ -0,0 +1,128 @@
+import type { Log } from '../config/log.js';
+import { type LoadedJob, readChunk, readLoaded, shardOfRecord } from '../jobs/records.js';
+import { KEYS } from '../keys/keys.js';
+import type { Entry } from '../wire/state.js';
+import type { World } from '../world/world.js';
+
+/** Changes are read no more often than this while there are some, and not at all while there are none. */
+const READ_EVERY_MS = 5000;
+
+/**
+ * The unfinished jobs of the shards that this node stands by for, as the state service has them: read once, and from then on
+ * the changes since, all with one request. Nothing depends on how old it is: whoever takes a shard reads on to the revision of its claim.
+ */
+export class RecordCopy {
+  private readonly jobs = new Map<string, { shard: number; loaded: LoadedJob }>();
+  private readonly shards = new Set<number>();
+  private revision = 0;
+  private readAt = Number.NEGATIVE_INFINITY;
+  private reading: Promise<void> | null = null;
+
+  constructor(
+    private readonly world: World,
+    private readonly log: Log,
+  ) {}
+
+  get size(): number {
+    return this.jobs.size;
+  }
+
+  /** From now on the shard is followed. */
+  follow(shard: number): void {
+    if (this.shards.has(shard)) return;
+    this.shards.add(shard);
+    this.revision = 0;
+    void this.read().catch((error) => this.log.debug({ error: String(error) }, 'records not read yet'));
+  }
+
+  leave(shard: number): void {
+    if (!this.shards.delete(shard)) return;
+    for (const [id, j] of this.jobs) if (j.shard === shard) this.jobs.delete(id);
+  }
+
+  /** The owner has changed something since. */
+  changed(): void {
+    if (this.reading || this.world.clock.now() - this.readAt < READ_EVERY_MS) return;
+    void this.read().catch((error) => this.log.debug({ error: String(error) }, 'changes not read yet'));
+  }
+
+  /**
+   * All unfinished jobs of a shard with all changes up to a revision; null when they have to be read anew. Throws when the
+   * state service does not answer.
+   */
+  async upTo(revision: number, shard: number): Promise<{ jobs: LoadedJob[]; changes: number } | null> {
+    if (!this.shards.has(shard)) return null;
+    await this.reading?.catch(() => undefined);
+    if (this.revision === 0) return null;
+    const changes = this.revision < revision ? await this.read() : 0;
+    if (this.revision < revision) return null;
+    const jobs = [...this.jobs.values()].filter((j) => j.shard === shard).map((j) => j.loaded);
+    return { jobs, changes };
+  }
+
+  /** Reads what has changed; returns how many changes that were. */
+  private read(): Promise<number> {
+    const reading = this.readNow();
+    const done = reading.then(
+      () => undefined,
+      () => undefined,
+    );
+    this.reading = done;
+    void done.then(() => {
+      if (this.reading === done) this.reading = null;
+    });
+    return reading;
+  }
+
+  private async readNow(): Promise<number> {
+    const { store, clock } = this.world;
+    this.readAt = clock.now();
+    if (this.revision > 0) {
+      const result = await store.watch(KEYS.active, this.revision, 0);
+      if (result) {
+        for (const c of result.changes) {
+          if ('gone' in c) this.remove(c.key);
+          else await this.apply({ key: c.key, value: c.value, version: c.version });
+        }
+        this.revision = Math.max(this.revision, result.revision);
+        return result.changes.length;
+      }
+    }
+    const { entries, revision } = await store.list(KEYS.active);
+    this.jobs.clear();
+    for (const e of entries) await this.apply(e);
+    // A listing of several pages may show later changes too; those are read once more, and are the same.
+    this.revision = revision;
+    return entries.length;
+  }
+
+  private async apply(e: Entry): Promise<void> {
+    const [id, chunk] = e.key.slice(KEYS.active.length).split('/');
+    if (id === undefined) return;
+    const known = this.jobs.get(id);
+    if (chunk !== undefined) {
+      const read = readChunk(chunk, e);
+      if (!known || !read) return;
+      known.loaded.chunks = known.loaded.chunks.filter((c) => c.name !== chunk);
+      known.loaded.chunks.push(read);
+      return;
+    }
+    const shard = shardOfRecord(e.value);
+    if (shard === null || !this.shards.has(shard)) return;
+    const loaded = await readLoaded(this.world.store, id, e);
+    if (!loaded) {
+      this.jobs.delete(id);
+      return;
+    }
+    if (known) loaded.chunks = known.loaded.chunks;
+    this.jobs.set(id, { shard, loaded });
+  }
+
+  private remove(key: string): void {
+    const [id, chunk] = key.slice(KEYS.active.length).split('/');
+    const known = id === undefined ? undefined : this.jobs.get(id);
+    if (!known) return;
+    if (chunk === undefined) this.jobs.delete(id!);
+    else known.loaded.chunks = known.loaded.chunks.filter((c) => c.name !== chunk);
+  }
+}
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -33,6 +33,13 @@
   changed(h: Held): void;
   /** A task is surely no longer on its machine. */
   gone(h: Held, why: GoneWhy): void;
+  /** A machine has begun a session that was not known. */
+  session(m: Machine): void;
+  /**
+   * Says where tasks may be started before their orders are sent. Null when nothing has to be waited for; else true once
+   * they may be sent, false when they must not be any more.
+   */
+  announce(held: readonly Held[]): Promise<boolean> | null;
   /** Something changed that the plan should take in. */
   stir(): void;
 }
@@ -198,6 +205,28 @@
     }
   }
 
+  /**
+   * Asks machines that were taken over for their reports, so many at once, in this order. With the session that the former
+   * owner knew one question is enough; a machine that has another says so.
+   */
+  async greet(
+    machines: readonly Machine[],
+    sessionOf: (m: Machine) => number | null,
+    atOnce: number,
+  ): Promise<void> {
+    const waiting = [...machines];
+    const one = async () => {
+      for (let m = waiting.shift(); m; m = waiting.shift()) {
+        if (this.stopped) return;
+        const guess = sessionOf(m);
+        await this.contact(m, guess);
+        if (guess !== null && !m.synced && !this.stopped && this.machines.get(m.id) === m)
+          await this.contact(m, m.session > 0 ? m.session : null);
+      }
+    };
+    await Promise.all(Array.from({ length: Math.min(atOnce, waiting.length) }, one));
+  }
+
   private lose(m: Machine): void {
     if (m.heardAt === null) {
       // Taken over and never heard of: what it may have held is gone, and it may well still boot.
@@ -223,6 +252,15 @@
 
   private async sendStarts(m: Machine, held: Held[]): Promise<void> {
     const orders = held.map((h): Order => ({ op: 'start', job: h.job, index: h.index, attempt: h.attempt }));
+    const announced = this.hooks.announce(held);
+    if (announced !== null) {
+      if (!(await announced) || !this.live) {
+        this.refuse(held, 'never sent');
+        return;
+      }
+      // What it is sent under is what makes it void later.
+      for (const h of held) h.token = m.token;
+    }
     try {
       const executed = await this.command(m, orders, m.session, () => {
         for (const h of held) if (h.phase === 'sending') h.phase = 'known';
@@ -303,6 +341,7 @@
       this.dropAll(m, 'new session');
     }
     m.session = r.session;
+    if (fresh) this.hooks.session(m);
     m.seq = r.seq;
     m.addr = r.addr;
     if (m.heardAt === null) {
--- a/tests/rooms.test.ts
+++ b/tests/rooms.test.ts
@@ -23,6 +23,7 @@
   'workers',
   'jobs',
   'supply',
+  'standby',
   'shard',
   'shards',
   'api',
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -10,6 +10,7 @@
 import type { HttpReply, HttpRequest } from '../../src/http/server.js';
 import type { Mesh } from '../../src/peer/mesh.js';
 import { ControllerNode } from '../../src/shards/node.js';
+import { Standbys } from '../../src/shards/standbys.js';
 import { StateStore } from '../../src/state/store.js';
 import { CLOUD_PATHS, type MachineType, type Rental, readRental } from '../../src/wire/cloud.js';
 import { readRedirect } from '../../src/wire/workers.js';
@@ -86,12 +87,16 @@
   readonly ghosts: Worker[] = [];
   teams: Settings['teams'] = [{ name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 }];
   stateLimits: Settings['stateLimits'] = { rps: 600, writeRps: 300, valueKb: 8, txnOps: 16 };
+  /** Nodes whose connections from other controllers are refused. */
+  readonly refused = new Set<string>();
   /** Messages between controllers, by their names, that get lost. */
   readonly lostMessages = new Set<string>();
   readonly sent: { from: string; to: string; op: string }[] = [];
   objectives: Settings['objectives'] = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }];
   /** Nodes serve HTCondor submit files. */
   condor = false;
+  /** Nodes that are started have standbys. */
+  standby = false;
   private runs = 0;
   private made = 0;
 
@@ -160,7 +165,7 @@
     if (this.condor) world.matcher = new ClassAdMatcher(names, world.catalog);
     world.store = new StateStore(clock, world.http, STATE, { ...this.stateRates, nodes: 1 });
     world.cloud = new Cloud(clock, world.http, CLOUD, 30, 1);
-    const node = new ControllerNode(world);
+    const node = new ControllerNode(world, this.standby ? Standbys : null);
     const api = new Api(world, node);
     const handle = api.handle.bind(api);
     api.handle = (request) => awake(request).then(handle);
@@ -232,12 +237,13 @@
         const target = this.nodes.get(to);
         this.sent.push({ from, to, op });
         if (!target || target.cut || running.cut || target.still.value) throw new Error('not connected');
+        if (this.refused.has(to)) throw new Error('refused');
         if (this.lostMessages.has(op)) throw new Error('no answer');
         // A node that is killed meanwhile never answers.
         return new Promise((resolve, reject) => {
           const timer = this.clock.after(timeoutMs, () => reject(new Error('no answer')));
           target.node
-            .serve(op, JSON.parse(JSON.stringify(args)))
+            .serve(op, JSON.parse(JSON.stringify(args)), from)
             .then(resolve, reject)
             .finally(() => timer.cancel());
         });
@@ -245,8 +251,12 @@
       tell: (to, op, args) => {
         const target = this.nodes.get(to);
         if (!target || target.cut || running.cut || running.stopped.value || target.still.value) return;
-        if (this.lostMessages.has(op)) return;
-        void target.node.serve(op, JSON.parse(JSON.stringify(args))).catch(() => from);
+        if (this.lostMessages.has(op) || this.refused.has(to)) return;
+        void target.node.serve(op, JSON.parse(JSON.stringify(args)), from).catch(() => from);
+      },
+      connected: (to) => {
+        const target = this.nodes.get(to);
+        return target !== undefined && !target.cut && !running.cut && !this.refused.has(to);
       },
     };
   }
--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -331,7 +331,7 @@
   const starts = new Starts(world, 7, fleet, new Map([['wk-1', one]]), log, {
     useOf: () => null,
     unseen: () => ({ cpus: 0, gpus: 0, memoryGb: 0 }),
-    adopted: () => true,
+    nowhereElse: () => true,
     withheld: () => false,
     lostOwnership: () => new Error('lost'),
   });
