Standbys through failures: tests; what cannot start yet keeps no place in the plan

Need: after a take-over beside a machine that hangs, a job whose tasks may be on it took the free places in the plan until the lease was over, and nothing that waited started. Change: such a job begins in the plan when the lease of that machine ends; demand and preemption ask per job as starts do. Tests: freezes, cuts one way, refusals, outages, crashes of owner, standby and both, a roll, versions side by side, switches.

--- a/src/shard/demand.ts
+++ b/src/shard/demand.ts
@@ -19,8 +19,8 @@
 
 export interface DemandHooks {
   teamUsage(): Map<number, Amounts>;
-  /** Whether all that an earlier owner may have started is known. */
-  adopted(): boolean;
+  /** Whether a task of a job that is not known to be anywhere is surely nowhere. */
+  nowhereElse(job: Job): boolean;
   /** Whether a job is within what its team is guaranteed. */
   guaranteed(job: Job): boolean;
   spare(m: Machine): boolean;
@@ -96,7 +96,6 @@
       });
     }
     const usage = this.hooks.teamUsage();
-    const adopted = this.hooks.adopted();
     const needs: Gossip['needs'] = [];
     const short: Shortage[] = [];
     for (const id of [...this.shortSince.keys()]) {
@@ -119,7 +118,7 @@
       // Tasks that wait for their team's limit start no sooner on more machines: what starts in time takes of it first.
       const late = Math.min(w.late, cap - (w.soon - w.late));
       // What an earlier owner may have started, and may well still run, needs no machine before that is known.
-      if (!job.fresh && !adopted) continue;
+      if (!this.hooks.nowhereElse(job)) continue;
       if (late <= 0 || now - since < RENT_AFTER_MS) continue;
       short.push({
         types: job.types,
--- a/src/shard/outlook.ts
+++ b/src/shard/outlook.ts
@@ -17,6 +17,8 @@
   rentals(): Iterable<PendingRental>;
   /** What machines that have not reported to this owner may hold. */
   unseen(): Amounts;
+  /** Until when a job cannot start, since a machine that may hold tasks of it does not answer; null when it can. */
+  heldBack(job: Job, now: number): number | null;
 }
 
 /** A shard's machines and jobs as the plan sees them. */
@@ -105,6 +107,8 @@
     if (one && job.places.size > 0) return null;
     const tasks = openTasks(job, one ? 1 : job.spec.kind === 'gang' ? job.spec.tasks : 300);
     if (tasks.length === 0) return null;
+    // It would keep a place from work that can start now.
+    const from = releaseAt ?? this.hooks.heldBack(job, now);
     const present = new Map<number, number>();
     for (const h of job.places.values()) {
       present.set(h.machine.zone, (present.get(h.machine.zone) ?? 0) + 1);
@@ -124,7 +128,7 @@
       imageGb: job.spec.imageGb,
       runS: this.estimates.runS(job.spec),
       deadline: (now + (job.dueWall - this.world.clock.wall())) / 1000,
-      ...(releaseAt === null ? {} : { from: releaseAt / 1000 }),
+      ...(from === null ? {} : { from: from / 1000 }),
       total: job.spec.tasks,
       tasks,
       present,
--- a/src/shard/preemption.ts
+++ b/src/shard/preemption.ts
@@ -22,8 +22,8 @@
 
 export interface PreemptionHooks {
   ready(): boolean;
-  /** Whether all that an earlier owner may have started is known. */
-  adopted(): boolean;
+  /** Whether a task of a job that is not known to be anywhere is surely nowhere. */
+  nowhereElse(job: Job): boolean;
   teamUsage(): Map<number, Amounts>;
   free(m: Machine): Amounts;
   moving(id: string): boolean;
@@ -51,11 +51,10 @@
    * team's limit is used up by the team's own lesser work.
    */
   makeRoom(waiting: ReadonlySet<Job>, now: number): void {
-    const adopted = this.hooks.adopted();
     const low = this.lowRuns();
     const urgent = [...waiting]
       .filter((job) => job.priority > PRIORITY.normal || (low && job.priority > PRIORITY.low))
-      .filter((job) => job.fresh || adopted)
+      .filter((job) => this.hooks.nowhereElse(job))
       .filter(
         (job) => now - (this.preemptedAt.get(job.spec.id) ?? Number.NEGATIVE_INFINITY) >= PREEMPT_PAUSE_MS,
       )
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -38,6 +38,8 @@
 const TELL_MS = 15_000;
 const STIR_MS = 30;
 const AGAIN_MS = 300;
+/** Machines that are there answer the greeting of a new owner within this. */
+const GREET_MS = 2500;
 
 /** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
 export class Shard {
@@ -68,6 +70,10 @@
   private planNotBefore = 0;
   private toldAt = Number.NEGATIVE_INFINITY;
   private toldAdopted = false;
+  private loadedAt = Number.POSITIVE_INFINITY;
+  private seenAll = false;
+  /** When it was last found that not all machines are known. */
+  private notAllAt = Number.NaN;
 
   constructor(
     private readonly world: World,
@@ -150,7 +156,7 @@
     });
     this.preemption = new Preemption(world, this.fleet, jobs, this.log, {
       ready: () => this.ready,
-      adopted: () => this.adopted,
+      nowhereElse: (job) => this.nowhereElse(job),
       teamUsage: () => this.starts.teamUsage(),
       free: (m) => this.starts.freeOn(m, new Map()),
       moving: (id) => this.supply.moving.has(id),
@@ -172,10 +178,11 @@
       withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
       rentals: () => this.supply.rentals,
       unseen: () => this.unseen(),
+      heldBack: (job, now) => this.heldBack(job, now),
     });
     this.demand = new Demand(world, index, this.fleet, jobs, this.estimates, this.supply, this.preemption, {
       teamUsage: () => this.starts.teamUsage(),
-      adopted: () => this.adopted,
+      nowhereElse: (job) => this.nowhereElse(job),
       guaranteed: (job) => this.planner.isGuaranteed(job),
       spare: (m) => this.isSpare(m),
     });
@@ -254,6 +261,7 @@
         }
         this.inheritance.give(adopted, this.fleet.machines.values(), this.estimates);
         this.loaded = true;
+        this.loadedAt = this.world.clock.now();
         this.log.info(
           { jobs: jobs.length, machines: this.fleet.machines.size, warm: this.taken !== null },
           'shard taken',
@@ -473,9 +481,22 @@
     );
   }
 
+  /** Machines that have not answered soon after the take-over may not do so before their leases are over. */
+  private heldBack(job: Job, now: number): number | null {
+    if (this.nowhereElse(job) || now - this.loadedAt < GREET_MS) return null;
+    let until = now;
+    for (const m of this.fleet.machines.values())
+      if (m.unknown) until = Math.max(until, this.fleet.leaseEnd(m));
+    return until;
+  }
+
+  /** Whether all that an earlier owner may have started is known; once it is, it stays so. */
   private get adopted(): boolean {
-    for (const m of this.fleet.machines.values()) if (m.unknown) return false;
-    return true;
+    const now = this.world.clock.now();
+    if (this.seenAll || this.notAllAt === now) return this.seenAll;
+    this.seenAll = this.loaded && [...this.fleet.machines.values()].every((m) => !m.unknown);
+    this.notAllAt = now;
+    return this.seenAll;
   }
 
   private tick(): void {
--- a/tests/standby.test.ts
+++ b/tests/standby.test.ts
@@ -62,3 +62,257 @@
   assert.equal(running(c), 4);
   assert.equal(starts(c), 4, 'the team is at its limit, and what ran goes on');
 });
+
+// Guards against two owners: what a frozen owner had checked before the freeze comes due after the take-over.
+test('an owner that stands still past the promise loses its shard, and does nothing of what it was about to do', async () => {
+  const c = await warm(6);
+  const k = shardOf(c);
+  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  const wake = c.freeze(old);
+  await c.clock.advance(1500);
+  assert.equal(owner(c, k), old, 'a short freeze costs nothing');
+  assert.ok(await c.clock.until(() => owner(c, k) === next, 5000));
+  c.workers.find((w) => w.on('wk-1/0'))!.end('wk-1/0', 'done');
+  assert.ok(
+    await c.clock.until(() => c.state.value('act/wk-1/0') !== undefined, 12_000),
+    'stored by the new owner',
+  );
+  wake();
+  await c.clock.advance(500);
+  assert.equal(((await c.call(old, 'GET', '/api/jobs/wk-1')).body as { done: number }).done, 1);
+  await c.clock.advance(25_000);
+  assert.equal(starts(c), 4);
+  assert.ok(c.workers.every((w) => w.session === 1));
+});
+
+test('a freeze just below the limit, and answers that get lost, cost no shard', async () => {
+  const c = await warm(4);
+  const before = [0, 1, 2].map((k) => c.state.items.get(`c/own/${k}`)!.version);
+  for (const n of NODES) {
+    const wake = c.freeze(n);
+    await c.clock.advance(1700);
+    wake();
+    await c.clock.advance(9000);
+  }
+  assert.deepEqual(
+    [0, 1, 2].map((k) => c.state.items.get(`c/own/${k}`)!.version),
+    before,
+  );
+  // The owners' messages arrive, the answers do not: the standbys may not claim, since they are struck off.
+  c.lostAnswers.add('stand');
+  const named = [0, 1, 2].map((k) => c.state.items.get(`c/stand/${k}`)!.version);
+  await c.clock.advance(500);
+  const now = () => [0, 1, 2].map((k) => c.state.items.get(`c/stand/${k}`)?.version);
+  assert.deepEqual(now(), named, 'not struck off at once');
+  await c.clock.advance(1000);
+  assert.ok(now().every((v, i) => v !== named[i]));
+  assert.ok(await c.submit('n0', job('wk-2')), 'owners without a standby go by their lease');
+  await c.clock.advance(20_000);
+  assert.deepEqual(
+    [0, 1, 2].map((k) => c.state.items.get(`c/own/${k}`)!.version),
+    before,
+  );
+  c.lostAnswers.clear();
+  assert.ok(await c.clock.until(() => [0, 1, 2].every((k) => standby(c, k)), 70_000), 'and have one again');
+});
+
+test('connections refused between controllers cost no shard, nor does a state outage', async () => {
+  const c = await warm(4);
+  const before = [0, 1, 2].map((k) => c.state.items.get(`c/own/${k}`)!.version);
+  for (const n of NODES) c.refused.add(n);
+  await c.clock.advance(20_000);
+  c.refused.clear();
+  await c.clock.advance(20_000);
+  c.state.down = true;
+  await c.clock.advance(10_000);
+  c.state.restore();
+  await c.clock.advance(10_000);
+  assert.deepEqual(
+    [0, 1, 2].map((k) => c.state.items.get(`c/own/${k}`)!.version),
+    before,
+  );
+  assert.ok(c.workers.every((w) => w.session === 1));
+});
+
+test('when owner and standby crash together, the third takes the shard by the lease', async () => {
+  const c = await warm(6);
+  const k = shardOf(c);
+  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  const third = NODES.find((n) => n !== old && n !== next)!;
+  c.killNode(old);
+  c.killNode(next);
+  assert.ok(await c.clock.until(() => owner(c, k) === third, 14_000));
+  await c.clock.advance(LEASE_S * 1000 + 5000);
+  assert.equal(starts(c), 4);
+  assert.ok(c.workers.every((w) => w.session === 1));
+});
+
+test('a standby that crashes is struck off within the promise, and another takes its place', async () => {
+  const c = await warm(6);
+  const k = shardOf(c);
+  const [own, first] = [owner(c, k)!, standby(c, k)!];
+  c.killNode(first);
+  await c.clock.advance(1500);
+  assert.ok(await c.submit(own, job('wk-2', { dueS: 900 })));
+  assert.ok(
+    await c.clock.until(() => standby(c, k) !== undefined && standby(c, k) !== first, 8000),
+    'another stands by',
+  );
+  assert.equal(owner(c, k), own);
+  await c.clock.advance(4000);
+  const second = standby(c, k)!;
+  c.killNode(own);
+  assert.ok(await c.clock.until(() => owner(c, k) === second, 4000), 'and takes over');
+  await c.clock.advance(5000);
+  assert.equal(running(c), 4);
+  assert.equal(starts(c), 4);
+});
+
+test('an owner that the state service alone refuses hands over before its lease runs out', async () => {
+  const c = await warm(6);
+  const k = shardOf(c);
+  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  c.net.fate = (from, addr) => (from === old && addr.startsWith('10.2.0.1') ? 'refuse' : 'deliver');
+  assert.ok(await c.clock.until(() => owner(c, k) === next, 5500));
+  assert.ok(await c.submit(old, job('wk-2', { dueS: 900 })), 'also by way of the node that was cut off');
+  await c.clock.advance(30_000);
+  assert.equal(owner(c, k), next, 'no way back while it is cut off');
+  assert.ok(c.workers.every((w) => w.session === 1));
+  assert.equal(starts(c), 4);
+});
+
+// Guards against a gap at each change of hands: between the end of one owner and the beginning of the next, users were refused.
+test('going home and leaving are switches: no request is refused and no machine is lost', async () => {
+  const c = await warm(6);
+  const k = shardOf(c);
+  const home = owner(c, k)!;
+  c.killNode(home);
+  assert.ok(await c.clock.until(() => owner(c, k) !== home, 4000));
+  await c.clock.advance(2000);
+  c.startNode(home);
+  await c.clock.advance(2000);
+  const replies: number[] = [];
+  let i = 10;
+  const ask = async (n: string) => {
+    if (!c.nodes.has(n)) return;
+    const id = `wk-${i++}`;
+    replies.push(
+      (await c.nodes.get(n)!.api.handle(c.request('POST', '/api/jobs', job(id, { dueS: 5000 })))).status,
+    );
+    replies.push((await c.nodes.get(n)!.api.handle(c.request('GET', '/api/jobs/wk-1'))).status);
+  };
+  for (let t = 0; t < 300 && owner(c, k) !== home; t++) {
+    for (const n of NODES) void ask(n);
+    await c.clock.advance(50);
+  }
+  assert.equal(owner(c, k), home, 'home again');
+  for (let t = 0; t < 20; t++) {
+    for (const n of NODES) void ask(n);
+    await c.clock.advance(50);
+  }
+  await c.clock.advance(4000);
+  const leaving = c.nodes.get(home)!.node.leave();
+  for (let t = 0; t < 10; t++) {
+    for (const n of NODES) void ask(n);
+    await c.clock.advance(20);
+  }
+  await leaving;
+  c.killNode(home);
+  assert.notEqual(owner(c, k), home);
+  await c.clock.advance(5000);
+  assert.ok(replies.length > 200);
+  assert.deepEqual(
+    replies.filter((s) => s !== 201 && s !== 200),
+    [],
+  );
+  assert.equal(c.workers.filter((w) => w.session > 1).length, 0);
+});
+
+// Guards against one machine that hangs at the moment of a take-over keeping all waiting work from starting for a lease.
+test('what was never started starts at once after a take-over, beside a machine that hangs; what may run does not', async () => {
+  const c = new FakeCluster(NODES);
+  c.standby = true;
+  c.teams = [{ name: 'red', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }];
+  const all = Array.from({ length: 3 }, () => c.addWorker('c8', 'a'));
+  for (const n of NODES) c.startNode(n);
+  await c.clock.advance(8000);
+  assert.ok(await c.submit('n0', job('wk-1', { pieces: 3, cpus: 8 })));
+  assert.ok(await c.clock.until(() => running(c) === 3, 20_000));
+  assert.ok(await c.submit('n0', job('wk-2', { pieces: 1, cpus: 8 })), 'waits: all places are taken');
+  await c.clock.advance(2000);
+  const k = shardOf(c);
+  const hung = all[0]!;
+  c.silent.add(hung);
+  c.net.fate = (_f, addr) => (addr === hung.place.addr ? 'silent' : 'deliver');
+  const mine = ['wk-1/0', 'wk-1/1', 'wk-1/2'].find((p) => !hung.on(p))!;
+  c.killNode(owner(c, k)!);
+  const at = c.clock.now();
+  all.find((w) => w.on(mine))!.end(mine, 'done');
+  assert.ok(await c.clock.until(() => all.some((w) => w.on('wk-2/0')), 10_000), 'not only after the lease');
+  assert.ok(c.clock.now() - at < 8000);
+  const held = ['wk-1/0', 'wk-1/1', 'wk-1/2'].find((p) => hung.on(p))!;
+  assert.equal(all.filter((w) => w.started.includes(held)).length, 1, 'its machine has not reported');
+});
+
+test('a state outage between the claim and the first read delays the take-over, and nothing is decided before', async () => {
+  const c = await warm(6);
+  const k = shardOf(c);
+  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  let cut = false;
+  c.net.fate = (from, addr, _m, path) => {
+    if (from === next && addr.startsWith('10.2.0.1') && owner(c, k) === next) cut = true;
+    return cut && addr.startsWith('10.2.0.1') && path !== '/leases' && !path.endsWith('/touch')
+      ? 'refuse'
+      : 'deliver';
+  };
+  c.killNode(old);
+  assert.ok(await c.clock.until(() => cut, 5000));
+  await c.clock.advance(4000);
+  assert.equal((await c.call(next, 'GET', '/api/jobs/wk-1')).status, 503, 'how it stands is not known yet');
+  assert.equal(starts(c), 4);
+  cut = false;
+  c.net.fate = () => 'deliver';
+  assert.ok(await c.submit(next, job('wk-2', { dueS: 900 })));
+  await c.clock.advance(25_000);
+  assert.equal(starts(c), 4);
+  assert.ok(c.workers.every((w) => w.session === 1));
+});
+
+test('in a roll of all, each next owner having been the standby, nothing is lost or started twice', async () => {
+  const c = await warm(8);
+  for (let round = 0; round < 2; round++) {
+    for (const n of NODES) {
+      c.killNode(n);
+      await c.clock.advance(4000);
+      c.startNode(n);
+      await c.clock.advance(8000);
+    }
+  }
+  await c.clock.advance(25_000);
+  assert.equal(starts(c), 4);
+  assert.ok(c.workers.every((w) => w.session === 1));
+  assert.deepEqual(new Set([0, 1, 2].map((k) => owner(c, k))), new Set(NODES));
+});
+
+test('beside a version without standbys no shard of its is followed, and it takes what is left as ever', async () => {
+  const c = new FakeCluster(NODES);
+  c.standby = ['n1', 'n2'];
+  for (let i = 0; i < 6; i++) c.addWorker('c8', 'a');
+  for (const n of NODES) c.startNode(n);
+  await c.clock.advance(12_000);
+  assert.deepEqual(
+    [0, 1, 2].map((k) => standby(c, k)),
+    [undefined, 'n2', 'n1'],
+  );
+  assert.ok(await c.submit('n0', job('wk-1', { pieces: 4, cpus: 8 })));
+  assert.ok(await c.clock.until(() => running(c) === 4, 15_000));
+  c.killNode('n1');
+  c.killNode('n2');
+  assert.ok(await c.clock.until(() => [0, 1, 2].every((k) => owner(c, k) === 'n0'), 20_000));
+  c.startNode('n1');
+  await c.clock.advance(20_000);
+  assert.equal(owner(c, 1), 'n1', 'handed back as ever');
+  await c.clock.advance(10_000);
+  assert.equal(starts(c), 4);
+  assert.ok(c.workers.every((w) => w.session === 1));
+});
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -87,6 +87,8 @@
   readonly ghosts: Worker[] = [];
   teams: Settings['teams'] = [{ name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 }];
   stateLimits: Settings['stateLimits'] = { rps: 600, writeRps: 300, valueKb: 8, txnOps: 16 };
+  /** Messages that arrive, and their answers do not. */
+  readonly lostAnswers = new Set<string>();
   /** Nodes whose connections from other controllers are refused. */
   readonly refused = new Set<string>();
   /** Messages between controllers, by their names, that get lost. */
@@ -95,8 +97,8 @@
   objectives: Settings['objectives'] = [{ kind: 'wait', class: 'train', withinS: 10, share: 0.9 }];
   /** Nodes serve HTCondor submit files. */
   condor = false;
-  /** Nodes that are started have standbys. */
-  standby = false;
+  /** Nodes that are started have standbys; a list names those that do. */
+  standby: boolean | string[] = false;
   private runs = 0;
   private made = 0;
 
@@ -165,7 +167,7 @@
     if (this.condor) world.matcher = new ClassAdMatcher(names, world.catalog);
     world.store = new StateStore(clock, world.http, STATE, { ...this.stateRates, nodes: 1 });
     world.cloud = new Cloud(clock, world.http, CLOUD, 30, 1);
-    const node = new ControllerNode(world, this.standby ? Standbys : null);
+    const node = new ControllerNode(world, this.stands(name) ? Standbys : null);
     const api = new Api(world, node);
     const handle = api.handle.bind(api);
     api.handle = (request) => awake(request).then(handle);
@@ -180,6 +182,10 @@
     return running;
   }
 
+  private stands(name: string): boolean {
+    return Array.isArray(this.standby) ? this.standby.includes(name) : this.standby;
+  }
+
   /** Lets a node stand still while its clocks run on; returns what wakes it. */
   freeze(name: string): () => void {
     const { still } = this.nodes.get(name)!;
@@ -244,8 +250,8 @@
           const timer = this.clock.after(timeoutMs, () => reject(new Error('no answer')));
           target.node
             .serve(op, JSON.parse(JSON.stringify(args)), from)
-            .then(resolve, reject)
-            .finally(() => timer.cancel());
+            .then((answer) => this.lostAnswers.has(op) || resolve(answer), reject)
+            .finally(() => this.lostAnswers.has(op) || timer.cancel());
         });
       },
       tell: (to, op, args) => {
@@ -275,6 +281,9 @@
       this.reportsTo.set(w, next);
       return;
     }
+    // No answer in time, as from a node that stands still.
+    const timer = this.clock.after(4000, () => this.reportsTo.get(w) === at && this.reportsTo.set(w, next));
+    this.reportsTo.set(w, at);
     void running.api
       .handle({
         method: 'POST',
@@ -284,6 +293,7 @@
         body: Buffer.from(JSON.stringify(w.report())),
       })
       .then((reply) => {
+        timer.cancel();
         if (reply.status === 200) w.answer(JSON.parse(JSON.stringify(reply.body)), sent);
         else this.reportsTo.set(w, readRedirect(reply.body) ?? next);
       });
