--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -16,6 +16,8 @@
   tell(node: string, op: string, args: unknown): void;
   /** Whether the connection to another node stands, as far as this side knows. */
   connected(node: string): boolean;
+  /** Whether the last try to connect was refused: nobody listens there, or a packet filter says so. */
+  refused(node: string): boolean;
 }
 
 interface Pending {
@@ -43,6 +45,7 @@
   private next = 1;
   private heardAt = Number.NEGATIVE_INFINITY;
   private closed = false;
+  private wasRefused = false;
   private readonly pending = new Map<number, Pending>();
 
   constructor(
@@ -85,6 +88,10 @@
     return this.ready;
   }
 
+  get refused(): boolean {
+    return this.wasRefused;
+  }
+
   close(): void {
     this.closed = true;
     this.socket?.destroy();
@@ -108,6 +115,7 @@
     socket.on('connect', () => {
       timer.cancel();
       this.ready = true;
+      this.wasRefused = false;
       this.write({ op: 'hello', a: this.self });
     });
     socket.on('data', (data) => {
@@ -118,7 +126,10 @@
         socket.destroy();
       }
     });
-    socket.on('error', () => socket.destroy());
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.wasRefused = error.code === 'ECONNREFUSED';
+      socket.destroy();
+    });
     socket.on('end', () => socket.destroy());
     socket.on('close', () => {
       timer.cancel();
@@ -187,6 +198,10 @@
     return this.links.get(node)?.connected === true;
   }
 
+  refused(node: string): boolean {
+    return this.links.get(node)?.refused === true;
+  }
+
   /** Ends all connections, for good. */
   close(): void {
     this.server?.close();
--- a/src/shards/standbys.ts
+++ b/src/shards/standbys.ts
@@ -45,7 +45,7 @@
       after: (ms, run) => void clock.after(ms, run),
       run: world.run,
       mayTake: () => members.valid && members.mirror.ready && !hooks.aside(),
-      connected: (node) => mesh.connected(node),
+      refused: (node) => mesh.refused(node),
       seen: (shard) => ({
         owner: members.mirror.entries.get(KEYS.owner(shard))?.version ?? 0,
         standby: members.mirror.entries.get(KEYS.standby(shard))?.version ?? 0,
--- a/src/standby/follower.ts
+++ b/src/standby/follower.ts
@@ -7,8 +7,8 @@
 
 const LOOK_MS = 100;
 /**
- * An owner that answers nothing while its connection stands may only be slow, or stand still for a moment. To take its shard
- * over costs more than to wait a little longer; one whose connections are refused is over as soon as its promise is.
+ * An owner that answers nothing may only be slow, or stand still for a moment, and to take its shard over costs more than to
+ * wait a little longer; one whose connections are refused is over as soon as its promise is.
  */
 const SILENT_MS = 3500;
 const CLAIM_AGAIN_MS = 200;
@@ -19,8 +19,8 @@
   run: string;
   /** Whether this node may take shards: its lease lasts, it knows the keys, the workers reach it. */
   mayTake(): boolean;
-  /** Whether the connection to a node stands. */
-  connected(node: string): boolean;
+  /** Whether connections to a node are refused. */
+  refused(node: string): boolean;
   /** Versions of a shard's owner key and standby key as this node's copy shows them, and how new that copy is. */
   seen(shard: number): { owner: number; standby: number; revision: number };
   /** How long ago the state service last renewed this node's lease. */
@@ -134,8 +134,10 @@
     }
     if (!mayClaim(f.vigil, now)) return;
     const silentMs = now - f.vigil.answeredAt;
-    if (!f.vigil.released && this.hooks.connected(f.owner) && silentMs < SILENT_MS) return;
-    this.log.info({ shard, owner: f.owner, silentMs: Math.round(silentMs) }, 'owner is silent: taking over');
+    const refused = this.hooks.refused(f.owner);
+    if (!f.vigil.released && !refused && silentMs < SILENT_MS) return;
+    const why = { shard, owner: f.owner, silentMs: Math.round(silentMs), refused };
+    this.log.info(why, 'owner is silent: taking over');
     void this.claim(shard, f);
   }
 
--- a/src/standby/keeper.ts
+++ b/src/standby/keeper.ts
@@ -14,7 +14,7 @@
 const EVERY_MS = 400;
 const LOOK_MS = 100;
 /** A standby that has not acknowledged anything sent since this long ago is struck off, well before the promise ends. */
-const SILENT_MS = 800;
+const SILENT_MS = 700;
 /** A standby that is not level after so long is too slow to be of use. */
 const LEVEL_MS = 20_000;
 const ASSUME_MS = 2500;
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -260,6 +260,7 @@
         if (this.lostMessages.has(op) || this.refused.has(to)) return;
         void target.node.serve(op, JSON.parse(JSON.stringify(args)), from).catch(() => from);
       },
+      refused: (to) => !this.nodes.has(to) || this.refused.has(to),
       connected: (to) => {
         const target = this.nodes.get(to);
         return target !== undefined && !target.cut && !running.cut && !this.refused.has(to);
