Model check of the promise: production's steps through loss, delay, late writes, drift

Need: that never two nodes act for a shard must hold in every order of events, not only in those that tests have thought of. Result: nothing wrong in all states of four bounds; each of thirteen guards taken out is found.

--- /dev/null
+++ b/src/check/promise.ts
@@ -0,0 +1,273 @@
+import { DRIFT } from '../clock/clock.js';
+import * as checks from '../standby/checks.js';
+import type { Pledge, Vigil } from '../standby/promise.js';
+import * as promise from '../standby/promise.js';
+import type { Model } from './explore.js';
+
+/** The transitions that are looked at: those of production, or with one of them broken. */
+export type Transitions = Pick<
+  typeof promise,
+  'sending' | 'acknowledged' | 'struckOff' | 'mayAct' | 'answering' | 'releasing' | 'mayClaim' | 'claiming'
+> &
+  Pick<typeof checks, 'surelyNowhere'>;
+export const PRODUCTION: Transitions = { ...promise, ...checks };
+
+export interface Bounds {
+  /** Steps of time, each a quarter of the promise. */
+  ticks: number;
+  messages: number;
+  writes: number;
+  /** How often a standby is named, and how often it starts anew. */
+  namings: number;
+  runs: number;
+  /** Whether the task and its machine are looked at too, or the promise alone. */
+  task: boolean;
+  /** Guards that are no function of their own; production has them all. */
+  guards: {
+    /** A standby answers only what is meant for its run. */
+    run: boolean;
+    /** A claim holds only while the key that names the standby is as it was. */
+    named: boolean;
+    /** A striking off without an answer is looked up before it counts. */
+    lookedUp: boolean;
+    /** A start is announced, and that acknowledged, before its order is sent. */
+    announced: boolean;
+    /** An owner that hands over stops before it says so. */
+    stopsFirst: boolean;
+    /** Orders under a token older than one that the machine has seen do nothing. */
+    token: boolean;
+  };
+}
+
+export const GUARDED: Bounds['guards'] = {
+  run: true,
+  named: true,
+  lookedUp: true,
+  announced: true,
+  stopsFirst: true,
+  token: true,
+};
+
+const TICK_MS = promise.PROMISE_MS / 4;
+const TERM = 1;
+
+type Message =
+  | { kind: 'ask'; revision: number; run: number; sentAt: number; complete: boolean; started: boolean }
+  | { kind: 'answer'; revision: number; sentAt: number; started: boolean }
+  | { kind: 'release'; revision: number };
+
+type Write = { kind: 'claim' | 'strike'; revision: number };
+
+export interface State {
+  t: number;
+  pledge: Pledge;
+  /** Revision under which the owner has named its standby; 0: it has none. */
+  named: number;
+  /** The owner acts no more, for good. */
+  stopped: boolean;
+  vigil: Vigil | null;
+  run: number;
+  namedRun: number;
+  /** The mark that ends the snapshot has been sent to the standby that is named. */
+  complete: boolean;
+  /** What the standby has been told of the one task, and whether its copy is level. */
+  level: boolean;
+  knows: boolean;
+  net: Message[];
+  writes: Write[];
+  /** The state service: whose the shard is, and the revision of the key that names the standby. */
+  own: 'owner' | 'standby';
+  stand: number;
+  revisions: number;
+  /** The task's start by the owner: announced, its order under way, running on the machine. */
+  order: 'none' | 'announced' | 'sent' | 'runs';
+  announcedOk: boolean;
+  /** The machine has reported to the standby under the new token. */
+  reached: boolean;
+  startedAgain: boolean;
+}
+
+/**
+ * One shard, its owner, its standby, one machine with one task, and the state service. Messages are lost, doubled, delayed and
+ * reordered, writes applied late and without an answer, the standby starts anew, either side stands still at any point, and the
+ * clocks drift apart as far as they may: the owner's is slow, the standby's fast.
+ */
+export function promiseModel(f: Transitions, b: Bounds): Model<State> {
+  const ownerClock = (s: State) => s.t * TICK_MS * (1 - DRIFT);
+  const standbyClock = (s: State) => s.t * TICK_MS * (1 + DRIFT);
+  const acts = (s: State) => !s.stopped && f.mayAct(s.pledge, ownerClock(s));
+  const copy = (s: State, change: Partial<State>): State => ({
+    ...s,
+    net: [...s.net],
+    writes: [...s.writes],
+    ...change,
+  });
+  const send = (s: State, m: Message): State => {
+    if (s.net.length < b.messages) s.net.push(m);
+    return s;
+  };
+  const write = (s: State, w: Write): State => {
+    if (!s.writes.some((x) => x.kind === w.kind && x.revision === w.revision)) s.writes.push(w);
+    return s;
+  };
+  const struck = (s: State, revision: number) => {
+    s.pledge = f.struckOff(s.pledge, revision);
+    if (s.named === revision) s.named = 0;
+  };
+
+  function* byOwner(s: State): Generator<{ what: string; state: State }> {
+    if (s.stopped) return;
+    const now = ownerClock(s);
+    if (s.named === 0 && s.own === 'owner' && s.revisions < b.namings) {
+      const revision = s.revisions + 1;
+      const again = s.order === 'announced' ? false : s.announcedOk;
+      yield {
+        what: 'owner names its standby',
+        state: copy(s, {
+          named: revision,
+          revisions: revision,
+          stand: revision,
+          namedRun: s.run,
+          announcedOk: again,
+          complete: false,
+        }),
+      };
+    }
+    if (s.named > 0) {
+      const ask = { kind: 'ask' as const, revision: s.named, run: s.namedRun, sentAt: now };
+      const pledge = f.sending(s.pledge, s.named, now);
+      const started = s.order !== 'none';
+      if (b.task && !s.complete)
+        yield {
+          what: 'owner asks, with a piece of the snapshot',
+          state: send(copy(s, { pledge }), { ...ask, complete: false, started: false }),
+        };
+      yield {
+        what: 'owner asks',
+        state: send(copy(s, { pledge, complete: true }), { ...ask, complete: true, started }),
+      };
+      if (s.writes.length < b.writes)
+        yield { what: 'owner strikes off', state: write(copy(s, {}), { kind: 'strike', revision: s.named }) };
+      if (s.own === 'owner' && (s.stand === 0 || !b.guards.lookedUp)) {
+        const known = copy(s, {});
+        struck(known, s.named);
+        yield { what: 'owner finds it struck off', state: known };
+      }
+      yield {
+        what: 'owner hands over',
+        state: send(copy(s, { stopped: b.guards.stopsFirst }), { kind: 'release', revision: s.named }),
+      };
+    }
+    if (b.task && s.order === 'none' && acts(s))
+      yield { what: 'owner announces', state: copy(s, { order: 'announced' }) };
+    const free = !s.complete || (s.pledge.bound === null && s.named === 0);
+    if (s.order === 'announced' && acts(s) && (free || s.announcedOk || !b.guards.announced))
+      yield { what: 'owner sends the order', state: copy(s, { order: 'sent' }) };
+  }
+
+  function* byStandby(s: State): Generator<{ what: string; state: State }> {
+    if (s.run < b.runs)
+      yield {
+        what: 'standby starts anew',
+        state: copy(s, { run: s.run + 1, vigil: null, level: false, knows: false }),
+      };
+    const { vigil } = s;
+    if (vigil && (vigil.claimed || f.mayClaim(vigil, standbyClock(s))) && s.writes.length < b.writes)
+      yield {
+        what: 'standby claims',
+        state: write(copy(s, { vigil: f.claiming(vigil) }), { kind: 'claim', revision: vigil.revision }),
+      };
+    if (!b.task || s.own !== 'standby') return;
+    if (!s.reached) yield { what: 'machine reports to the standby', state: copy(s, { reached: true }) };
+    const on = new Set(s.knows ? ['m'] : []);
+    const warmth = { mayBeOn: () => (s.level ? on : null) } as unknown as Parameters<
+      Transitions['surelyNowhere']
+    >[1];
+    const nowhere = f.surelyNowhere({ fresh: false, id: 'j' }, warmth, s.reached, () => !s.reached);
+    const seenThere = s.reached && s.order === 'runs';
+    if (!s.startedAgain && nowhere && !seenThere)
+      yield { what: 'standby starts the task', state: copy(s, { startedAgain: true }) };
+  }
+
+  function deliver(s: State, m: Message): State | null {
+    if (m.kind === 'answer') {
+      if (s.stopped || s.named !== m.revision) return null;
+      const pledge = f.acknowledged(s.pledge, m.revision, m.sentAt);
+      return copy(s, { pledge, announcedOk: s.announcedOk || m.started });
+    }
+    if (m.kind === 'release') {
+      const vigil = f.releasing(s.vigil, TERM, m.revision);
+      return vigil && copy(s, { vigil });
+    }
+    if (b.guards.run && m.run !== s.run) return null;
+    const vigil = f.answering(s.vigil, TERM, m.revision, standbyClock(s));
+    if (!vigil) return null;
+    const fresh = s.vigil?.revision !== vigil.revision;
+    const knows = (fresh ? false : s.knows) || m.started;
+    const level = (fresh ? false : s.level) || m.complete;
+    const answer: Message = { kind: 'answer', revision: m.revision, sentAt: m.sentAt, started: knows };
+    return send(copy(s, { vigil, level, knows }), answer);
+  }
+
+  function apply(s: State, w: Write): State {
+    const holds = s.own === 'owner' && (s.stand === w.revision || (w.kind === 'claim' && !b.guards.named));
+    if (!holds) return s;
+    return w.kind === 'claim' ? { ...s, own: 'standby', stand: 0 } : { ...s, stand: 0 };
+  }
+
+  return {
+    initial: {
+      t: 0,
+      pledge: promise.UNBOUND,
+      named: 0,
+      stopped: false,
+      vigil: null,
+      run: 1,
+      namedRun: 0,
+      complete: false,
+      level: false,
+      knows: false,
+      net: [],
+      writes: [],
+      own: 'owner',
+      stand: 0,
+      revisions: 0,
+      order: 'none',
+      announcedOk: false,
+      reached: false,
+      startedAgain: false,
+    },
+    *next(s) {
+      if (s.t < b.ticks) yield { what: 'time passes', state: copy(s, { t: s.t + 1 }) };
+      yield* byOwner(s);
+      yield* byStandby(s);
+      for (const [i, m] of s.net.entries()) {
+        const without = copy(s, { net: s.net.filter((_, j) => j !== i) });
+        yield { what: `${m.kind} is lost`, state: without };
+        const once = deliver(without, m);
+        if (once) yield { what: `${m.kind} arrives`, state: once };
+        const twice = deliver(s, m);
+        if (twice) yield { what: `${m.kind} arrives, and will again`, state: twice };
+      }
+      for (const [i, w] of s.writes.entries()) {
+        const applied = apply(copy(s, { writes: s.writes.filter((_, j) => j !== i) }), w);
+        yield { what: `${w.kind} is applied, unanswered`, state: applied };
+        if (w.kind === 'strike' && applied.own === 'owner' && s.stand === w.revision) {
+          const answered = copy(applied, {});
+          struck(answered, w.revision);
+          yield { what: 'strike is applied', state: answered };
+        }
+      }
+      if (s.order === 'sent' && (!s.reached || !b.guards.token))
+        yield { what: 'the order is executed', state: copy(s, { order: 'runs' }) };
+    },
+    wrong(s) {
+      if (s.own === 'standby' && acts(s)) return 'two may act';
+      const there = s.order === 'runs' || (s.order === 'sent' && (!s.reached || !b.guards.token));
+      if (s.startedAgain && there) return 'the task may run twice';
+      return null;
+    },
+    key: (s) => JSON.stringify(s),
+    ended: (s) => s.own === 'standby' || s.t === b.ticks,
+  };
+}
--- /dev/null
+++ b/tests/promise.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { explore, wander } from '../src/check/explore.js';
+import { type Bounds, GUARDED, PRODUCTION, promiseModel, type Transitions } from '../src/check/promise.js';
+import { Random } from '../src/emulator/random.js';
+import * as checks from '../src/standby/checks.js';
+import * as promise from '../src/standby/promise.js';
+
+const ALONE: Bounds = {
+  ticks: 6,
+  messages: 1,
+  writes: 1,
+  namings: 1,
+  runs: 1,
+  task: false,
+  guards: GUARDED,
+};
+const WITH_TASK: Bounds = { ...ALONE, ticks: 4, namings: 1, runs: 1, task: true };
+const STATES = 80_000;
+
+test('never may two act for a shard, nor a task be started beside one that may run', () => {
+  for (const bounds of [ALONE, { ...ALONE, runs: 2 }, { ...ALONE, namings: 2 }, WITH_TASK]) {
+    const found = explore(promiseModel(PRODUCTION, bounds), STATES);
+    assert.deepEqual([found.wrong, found.cut], [null, false], `${found.states} states`);
+    assert.ok(found.states > 5000, `${found.states} states`);
+  }
+});
+
+test('the same at random far beyond: more messages, writes, namings, and standbys that start anew', () => {
+  const bounds = { ticks: 40, messages: 4, writes: 3, namings: 6, runs: 4, task: true, guards: GUARDED };
+  const model = promiseModel(PRODUCTION, bounds);
+  for (let seed = 1; seed <= 300; seed++) {
+    const random = new Random(seed);
+    const wrong = wander(model, () => random.next(), 250);
+    assert.equal(wrong, null, `seed ${seed}`);
+  }
+});
+
+/** Each guard taken out, and what that leads to. */
+const BROKEN: { what: string; f?: Partial<Transitions>; bounds?: Partial<Bounds>; wrong: RegExp }[] = [
+  {
+    what: 'an owner acts as long as its lease',
+    f: { mayAct: () => true },
+    wrong: /two may act/,
+  },
+  {
+    what: 'the promise counts from when the answer came',
+    f: { acknowledged: (p, r, at) => promise.acknowledged(p, r, at + promise.PROMISE_MS / 2) },
+    wrong: /two may act/,
+  },
+  {
+    what: 'neither drift nor margin',
+    f: {
+      sending: (p, r, now) => (p.bound === r ? p : { bound: r, until: now + promise.PROMISE_MS }),
+      acknowledged: (p, r, at) =>
+        p.bound === r ? { bound: r, until: Math.max(p.until, at + promise.PROMISE_MS) } : p,
+      mayClaim: (v, now) => !v.claimed && (v.released || now > v.answeredAt + promise.PROMISE_MS),
+    },
+    wrong: /two may act/,
+  },
+  {
+    what: 'a standby claims before the promise is over',
+    f: { mayClaim: (v, now) => promise.mayClaim(v, now + promise.PROMISE_MS / 2) },
+    wrong: /two may act/,
+  },
+  {
+    what: 'a standby answers after it has claimed',
+    f: {
+      answering: (v, t, r, now) =>
+        v && v.term === t && v.revision === r ? { ...v, answeredAt: now } : promise.answering(v, t, r, now),
+    },
+    wrong: /two may act/,
+  },
+  {
+    what: 'another run of the standby answers for a claim under way',
+    bounds: { guards: { ...GUARDED, run: false }, runs: 2, ticks: 7 },
+    wrong: /two may act/,
+  },
+  {
+    what: 'a claim does not ask who is named',
+    bounds: { guards: { ...GUARDED, named: false } },
+    wrong: /two may act/,
+  },
+  {
+    what: 'a striking off counts without an answer',
+    bounds: { guards: { ...GUARDED, lookedUp: false } },
+    wrong: /two may act/,
+  },
+  {
+    what: 'a release is said before the owner stops',
+    bounds: { guards: { ...GUARDED, stopsFirst: false } },
+    wrong: /two may act/,
+  },
+  {
+    what: 'orders are sent before they are announced',
+    bounds: { task: true, guards: { ...GUARDED, announced: false } },
+    wrong: /run twice/,
+  },
+  {
+    what: 'what was announced on a machine that has not reported is no reason to wait',
+    f: { surelyNowhere: () => true },
+    bounds: { task: true },
+    wrong: /run twice/,
+  },
+  {
+    what: 'a copy that is not level is taken for one that is',
+    f: {
+      surelyNowhere: (job, warmth, adopted, unseen) =>
+        warmth?.mayBeOn(job.id) === null || checks.surelyNowhere(job, warmth, adopted, unseen),
+    },
+    bounds: { task: true },
+    wrong: /run twice/,
+  },
+  {
+    what: 'a machine executes orders under an older token',
+    bounds: { task: true, guards: { ...GUARDED, token: false } },
+    wrong: /run twice/,
+  },
+];
+
+// A model that finds nothing wrong may not look: each guard is taken out once, and its absence is found.
+for (const b of BROKEN) {
+  test(`found when it is so: ${b.what}`, () => {
+    const found = explore(
+      promiseModel({ ...PRODUCTION, ...b.f }, { ...(b.bounds?.task ? WITH_TASK : ALONE), ...b.bounds }),
+      STATES,
+    );
+    assert.match(found.wrong?.what ?? `nothing wrong in ${found.states} states, cut ${found.cut}`, b.wrong);
+    assert.ok(found.wrong!.steps.length > 2);
+  });
+}
--- /dev/null
+++ b/tests/standby/check.ts
@@ -0,0 +1,49 @@
+import { explore, wander } from '../../src/check/explore.js';
+import { type Bounds, GUARDED, PRODUCTION, promiseModel } from '../../src/check/promise.js';
+import { Random } from '../../src/emulator/random.js';
+
+// Walks the promise between owner and standby much further than the tests do; some minutes, in a process of its own.
+const STATES = 1_500_000;
+const base: Bounds = {
+  ticks: 6,
+  messages: 2,
+  writes: 1,
+  namings: 2,
+  runs: 1,
+  task: false,
+  guards: GUARDED,
+};
+const WALKS: { what: string; bounds: Bounds }[] = [
+  { what: 'two messages, two namings', bounds: base },
+  { what: 'two runs of the standby', bounds: { ...base, messages: 1, runs: 2, namings: 2 } },
+  { what: 'two writes', bounds: { ...base, writes: 2, namings: 1 } },
+  { what: 'with the task', bounds: { ...base, messages: 1, ticks: 5, namings: 2, task: true } },
+];
+let bad = 0;
+const print = (line: string) => process.stdout.write(`${line}\n`);
+for (const { what, bounds } of WALKS) {
+  const found = explore(promiseModel(PRODUCTION, bounds), STATES);
+  print(`${what}: ${found.states} states${found.cut ? ', cut at the bound' : ', all of them'}`);
+  if (!found.wrong) continue;
+  bad++;
+  print(`  ${found.wrong.what}: ${found.wrong.steps.join('; ')}`);
+}
+const far = promiseModel(PRODUCTION, {
+  ...base,
+  ticks: 60,
+  messages: 5,
+  writes: 4,
+  namings: 9,
+  runs: 6,
+  task: true,
+});
+const SEEDS = 20_000;
+for (let seed = 1; seed <= SEEDS; seed++) {
+  const random = new Random(seed);
+  const wrong = wander(far, () => random.next(), 400);
+  if (!wrong) continue;
+  bad++;
+  print(`seed ${seed}: ${wrong.what}: ${wrong.steps.join('; ')}`);
+}
+print(`${SEEDS} random walks of 400 steps, ${bad} things wrong`);
+process.exitCode = bad > 0 ? 1 : 0;
