--- a/src/cli/load.ts
+++ b/src/cli/load.ts
@@ -2,6 +2,7 @@
 import { basename } from 'node:path';
 import type { Command } from 'commander';
 import type { LoadReport } from '../load/play.js';
+import { FAILED, LOW } from '../load/served.js';
 import { type LocalFlags, localOptions, startLocal } from './local.js';
 import { EXIT, say, table } from './output.js';
 
@@ -31,6 +32,10 @@
   say(
     `\n${r.violations.length} broken rules, ${r.twice} tasks done twice, ${rounded(r.spent)} spent (simulated machines)`,
   );
+  const [lowest] = r.served;
+  if (lowest) say(`lowest served: ${lowest.who}, ${lowest.what} ${rounded(lowest.share)}`);
+  for (const s of r.served)
+    if (s.share < LOW) say(`${s.share < FAILED ? 'FAILED' : 'low'}: ${s.who}, ${s.what}`);
   for (const x of r.violations.slice(0, 20)) say(`${x.at} s: ${x.rule}: ${x.what}`);
 }
 
@@ -65,6 +70,9 @@
     if (flags.json) say(JSON.stringify(report));
     else print(report);
     const lost = report.classes.some((c) => c.lost > 0);
-    process.exit(report.violations.length > 0 || lost || report.twice > 0 ? EXIT.failed : EXIT.ok);
+    const unserved = report.served.some((s) => s.share < FAILED);
+    process.exit(
+      report.violations.length > 0 || lost || unserved || report.twice > 0 ? EXIT.failed : EXIT.ok,
+    );
   });
 }
--- a/src/load/page.ts
+++ b/src/load/page.ts
@@ -17,6 +17,7 @@
 <table><tr><th>class</th><th>submitted</th><th>accepted</th><th>refused</th><th>done</th><th>cancelled</th><th>lost</th></tr>
 <% for (const c of it.r.classes) { %><tr><td><%= c.name %></td><td><%= c.submitted %></td><td><%= c.accepted %></td><td><%= c.refused %></td><td><%= c.done %></td><td><%= c.cancelled %></td><td><%= c.lost %></td></tr><% } %>
 </table>
+<p>Lowest served: <% for (const s of it.r.served.slice(0, 3)) { %><%= s.who %>, <%= s.what %> <%= it.n(s.share) %>; <% } %></p>
 <table><tr><th>class</th><th>what</th><th>count</th><th>p50</th><th>p90</th><th>p99</th><th>max</th></tr>
 <% for (const c of it.r.classes) for (const [what, s] of [['submitted, ms', c.submitMs], ['started, s', c.startS], ['finished, s', c.finishS]]) { %>
 <tr><td><%= c.name %></td><td><%= what %></td><td><%= s.count %></td><td><%= it.n(s.p50) %></td><td><%= it.n(s.p90) %></td><td><%= it.n(s.p99) %></td><td><%= it.n(s.max) %></td></tr><% } %>
--- a/src/load/play.ts
+++ b/src/load/play.ts
@@ -9,6 +9,7 @@
 import { type JobSpec, KINDS, PRIORITIES } from '../wire/users.js';
 import { checkHistory, type UserEvent, type Violation } from './check.js';
 import type { Fault, JobClass, Scenario } from './scenario.js';
+import { type Share, sharesOf } from './served.js';
 
 export interface Spread {
   count: number;
@@ -21,8 +22,11 @@
 
 export interface ClassReport {
   name: string;
+  team: string;
   submitted: number;
   accepted: number;
+  /** Jobs of which a task has started. */
+  started: number;
   refused: number;
   done: number;
   cancelled: number;
@@ -39,6 +43,8 @@
   speed: number;
   durationS: number;
   classes: ClassReport[];
+  /** What share of each class and team was served, the lowest first. */
+  served: Share[];
   /** Tasks done more than once. */
   twice: number;
   violations: Violation[];
@@ -93,6 +99,7 @@
   private readonly classOf = new Map<string, JobClass>();
   private readonly submittedAt = new Map<string, number>();
   private readonly tallies = new Map<string, Tally>();
+  private readonly startedJobs = new Set<string>();
   private readonly series: LoadReport['series'] = [];
   private readonly faults: LoadReport['faults'] = [];
   private readonly users = new Set<Promise<void>>();
@@ -308,15 +315,18 @@
       teams: this.platform.teams.map((t) => ({ name: t.name, cpusMax: t.cpus_max, gpusMax: t.gpus_max })),
       cancelS: this.platform.workers.cancel_s,
     });
-    return {
-      scenario,
-      seed,
-      speed,
-      durationS,
-      classes: [...this.tallies].map(([name, t]) => ({
+    const started = new Map<string, number>();
+    for (const id of this.startedJobs) {
+      const name = this.classOf.get(id)?.name;
+      if (name !== undefined) started.set(name, (started.get(name) ?? 0) + 1);
+    }
+    const classes = [...this.tallies].map(
+      ([name, t]): ClassReport => ({
         name,
+        team: this.scenario.classes.find((c) => c.name === name)?.team ?? '',
         submitted: t.submitted,
         accepted: t.accepted,
+        started: started.get(name) ?? 0,
         refused: t.refused,
         done: t.done,
         cancelled: t.cancelled,
@@ -324,7 +334,15 @@
         submitMs: spread(t.submit, 1),
         startS: spread(t.start, 1000),
         finishS: spread(t.finish, 1000),
-      })),
+      }),
+    );
+    return {
+      scenario,
+      seed,
+      speed,
+      durationS,
+      classes,
+      served: sharesOf(classes),
       twice: this.cluster.tasks.twice,
       violations: violations.map((x) => ({ ...x, at: Math.round((x.at - this.begun) / 100) / 10 })),
       spent: this.cluster.market.charge(),
@@ -343,6 +361,7 @@
       if (!of.has(e.index)) of.set(e.index, e.at);
     }
     for (const [id, of] of first) {
+      this.startedJobs.add(id);
       const c = this.classOf.get(id);
       const begun = this.submittedAt.get(id);
       if (!c || begun === undefined) continue;
--- a/src/standby/follower.ts
+++ b/src/standby/follower.ts
@@ -5,7 +5,7 @@
 import { answering, claiming, mayClaim, releasing, type Vigil } from './promise.js';
 import type { RecordCopy } from './records.js';
 
-const LOOK_MS = 100;
+const LOOK_MS = 125;
 /**
  * An owner that answers nothing may only be slow, or stand still for a moment, and to take its shard over costs more than to
  * wait a little longer; one whose connections are refused is over as soon as its promise is.
--- a/tests/emulator.test.ts
+++ b/tests/emulator.test.ts
@@ -7,6 +7,7 @@
 import { Tasks } from '../src/emulator/tasks.js';
 import { Worker } from '../src/emulator/worker.js';
 import { checkHistory, type UserEvent } from '../src/load/check.js';
+import { sharesOf } from '../src/load/served.js';
 import { type JobSpec, readJob } from '../src/wire/users.js';
 import { FakeClock } from './support/clock.js';
 import { job } from './support/cluster.js';
@@ -225,3 +226,22 @@
   assert.deepEqual(rules(clean, [...cancel, told(50_000, 'wk-b', 'queued')]), ['orphaned']);
   assert.deepEqual(rules([], []), ['nothing_ran']);
 });
+
+test('what share of each class and team was served is told, the lowest first', () => {
+  const counts = { submitted: 10, accepted: 10, started: 10, done: 10, cancelled: 0 };
+  const shares = sharesOf([
+    { ...counts, name: 'plans', team: 'depot' },
+    { ...counts, name: 'checks', team: 'workshop', accepted: 9, started: 3, done: 2, cancelled: 2 },
+    { ...counts, name: 'sweeps', team: 'workshop', submitted: 0, accepted: 0, started: 0, done: 0 },
+  ]);
+  assert.deepEqual(
+    shares.slice(0, 4).map((s) => [s.who, s.what, s.share]),
+    [
+      ['class checks', 'done', 0.25],
+      ['class checks', 'started', 0.375],
+      ['team workshop', 'started', 0.375],
+      ['class checks', 'accepted', 0.9],
+    ],
+  );
+  assert.ok(shares.slice(4).every((s) => s.share === 1));
+});
