Standbys go by machines: the idle stand by; shards go home only to take load off

Three of five shards have all machines; each crash cost two greetings of 200 machines, there and back, and nodes 3 and 4 stood idle. Change: load is counted in machines; going home has to take more off this node than it puts on the other; timers run when due.

--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -338,7 +338,7 @@
     const shard = this.shards.get(k)!;
     if (!shard.ready) return;
     if (this.standbys?.stands(home)) {
-      if (!this.gainsByGoingHome(home)) return;
+      if (!this.standbys.gainsByGoingHome(k)) return;
       if (this.successorOf(shard) === home) {
         this.homeSince.delete(k);
         void this.switchOver(shard, 'going home');
@@ -352,14 +352,6 @@
     this.releaseSpent(k, shard.term);
   }
 
-  /** Each way costs all machines a greeting: it is worth it when the home node has less to do, or is nearer to them. */
-  private gainsByGoingHome(home: string): boolean {
-    if (this.zones.get(home) !== this.world.settings.zone) return true;
-    let owned = 0;
-    for (let i = 0; i < this.order.length; i++) if (this.members.owner(i)?.node === home) owned++;
-    return owned < this.shards.size;
-  }
-
   private releaseSpent(k: number, term: number): void {
     const key = KEYS.owner(k);
     this.claiming.add(key);
--- a/src/shards/standbys.ts
+++ b/src/shards/standbys.ts
@@ -3,11 +3,14 @@
 import { chooseStandby, StruckOff } from '../standby/choice.js';
 import { Follower, type Taken } from '../standby/follower.js';
 import { Keeper } from '../standby/keeper.js';
+import { readStandKey } from '../standby/messages.js';
 import { RecordCopy } from '../standby/records.js';
 import type { World } from '../world/world.js';
 import type { Members } from './members.js';
 
 const TELL_MS = 15_000;
+/** Machines of the shards are counted no more often than this. */
+const COUNT_MS = 2000;
 /** A standby whose lease was renewed no longer ago than this reaches the state service. */
 const STATE_RECENT_MS = 3500;
 
@@ -31,6 +34,8 @@
   private readonly records: RecordCopy;
   private readonly struck = new StruckOff();
   private toldAt = 0;
+  private readonly counts = new Map<number, Map<string, number>>();
+  private countedAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly world: World,
@@ -74,7 +79,8 @@
       choose: () => this.choose(shard),
       homeBack: () => {
         const home = this.hooks.home(shard);
-        return home !== this.world.settings.node && this.fit(home) ? home : null;
+        const away = home !== this.world.settings.node && this.fit(home);
+        return away && this.gainsByGoingHome(shard) ? home : null;
       },
       present: (node) => this.members.presenceOf(node),
       lost: () => this.hooks.lost(shard, term),
@@ -98,30 +104,67 @@
     return this.stands(node) && !this.members.aside(node) && this.mesh.connected(node);
   }
 
+  /** Machines of each shard by zone, counted now and then. */
+  private counted(shard: number): ReadonlyMap<string, number> {
+    const now = this.world.clock.now();
+    if (now - this.countedAt > COUNT_MS) {
+      this.countedAt = now;
+      this.counts.clear();
+      for (const [key, e] of this.members.mirror.entries) {
+        const m = key.startsWith(KEYS.machines) ? readMachineRecord(e.value) : null;
+        if (!m) continue;
+        const zones = this.counts.get(m.shard) ?? new Map<string, number>();
+        zones.set(m.zone, (zones.get(m.zone) ?? 0) + 1);
+        this.counts.set(m.shard, zones);
+      }
+    }
+    return this.counts.get(shard) ?? new Map();
+  }
+
+  /** What a shard costs its owner; one without machines is a little work too. */
+  private weight(shard: number): number {
+    let sum = 1;
+    for (const n of this.counted(shard).values()) sum += n;
+    return sum;
+  }
+
+  /**
+   * Whether a shard is better off at home. Each way costs all its machines a greeting, so it goes there only when that takes
+   * more off this node than it puts on the home node, or when that is where most of its machines are and this one is not.
+   */
+  gainsByGoingHome(shard: number): boolean {
+    const here = this.world.settings.node;
+    const home = this.hooks.home(shard);
+    const zones = this.counted(shard);
+    const near = (node: string) => zones.get(this.hooks.zoneOf(node)) ?? 0;
+    if (near(home) !== near(here)) return near(home) > near(here);
+    const load = (node: string) => {
+      let sum = 0;
+      for (let k = 0; k < this.world.settings.nodes; k++)
+        if (this.members.owner(k)?.node === node) sum += this.weight(k);
+      return sum;
+    };
+    return load(here) > load(home) + this.weight(shard);
+  }
+
   private choose(shard: number): string | null {
     const { entries } = this.members.mirror;
-    const machines = new Map<string, number>();
     const load = new Map<string, number>();
-    const count = (map: Map<string, number>, key: string | undefined) => {
-      if (key !== undefined) map.set(key, (map.get(key) ?? 0) + 1);
+    const count = (node: string | undefined, n: number) => {
+      if (node !== undefined) load.set(node, (load.get(node) ?? 0) + n);
     };
-    for (const [key, e] of entries) {
-      if (!key.startsWith(KEYS.machines)) continue;
-      const m = readMachineRecord(e.value);
-      if (m?.shard === shard) count(machines, m.zone);
-    }
     for (let k = 0; k < this.world.settings.nodes; k++) {
-      count(load, this.members.owner(k)?.node);
-      count(load, (entries.get(KEYS.standby(k))?.value as { node?: string } | undefined)?.node);
+      count(this.members.owner(k)?.node, this.weight(k));
+      count(readStandKey(entries.get(KEYS.standby(k))?.value)?.node, this.weight(k));
     }
     return chooseStandby({
       owner: this.world.settings.node,
-      home: this.hooks.home(shard),
+      home: this.gainsByGoingHome(shard) ? this.hooks.home(shard) : this.world.settings.node,
       order: this.hooks.order,
       fit: (node) => this.fit(node),
       load: (node) => load.get(node) ?? 0,
       zoneOf: (node) => this.hooks.zoneOf(node),
-      machines,
+      machines: this.counted(shard),
     });
   }
 
--- a/src/standby/choice.ts
+++ b/src/standby/choice.ts
@@ -1,13 +1,13 @@
 /** What the choice of a standby goes by; names of nodes as in the settings. */
 export interface Candidates {
   owner: string;
-  /** Where the shard is at home. */
+  /** Where the shard should go; the owner itself when it is well where it is. */
   home: string;
   /** All nodes, in the order of their names: a roll restarts them in it. */
   order: readonly string[];
   /** Whether a node is there, follows shards and takes them. */
   fit(node: string): boolean;
-  /** How many shards a node owns and stands by for. */
+  /** How many machines the shards have that a node owns and stands by for. */
   load(node: string): number;
   zoneOf(node: string): string;
   /** Machines of the shard by zone. */
--- a/src/standby/follower.ts
+++ b/src/standby/follower.ts
@@ -2,7 +2,7 @@
 import type { LoadedJob } from '../jobs/records.js';
 import { WarmCopy, type Warmth } from './copy.js';
 import { readAssumeMessage, readStandMessage, type StandAnswer } from './messages.js';
-import { answering, claiming, mayClaim, releasing, type Vigil } from './promise.js';
+import { answering, claiming, mayClaim, PROMISE_MS, releasing, type Vigil } from './promise.js';
 import type { RecordCopy } from './records.js';
 
 const LOOK_MS = 125;
@@ -110,9 +110,13 @@
     return this.claim(m.shard, f);
   }
 
+  /** Looks again when the first promise may be over, and more often once one is: mostly the next answer comes before. */
   private loop(): void {
     for (const [shard, f] of this.shards) this.look(shard, f);
-    this.hooks.after(LOOK_MS, () => this.loop());
+    let next = PROMISE_MS;
+    for (const { vigil } of this.shards.values())
+      next = Math.min(next, vigil.answeredAt + PROMISE_MS * 1.05 - this.hooks.now());
+    this.hooks.after(Math.max(LOOK_MS, next), () => this.loop());
   }
 
   private look(shard: number, f: Followed): void {
--- a/src/standby/keeper.ts
+++ b/src/standby/keeper.ts
@@ -12,7 +12,7 @@
 
 /** The owner's messages to its standby. */
 const EVERY_MS = 500;
-const LOOK_MS = 125;
+const LOOK_MS = 250;
 /** A standby that has not acknowledged anything sent since this long ago is struck off, well before the promise ends. */
 const SILENT_MS = 700;
 /** A standby that is not level after so long is too slow to be of use. */
