--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -65,6 +65,8 @@
   private readonly stopping = new Set<Held>();
   private readonly contacting = new Set<string>();
   private readonly contactedAt = new Map<string, number>();
+  /** Machines whose turn to be greeted is still to come. */
+  private readonly greeting = new Set<string>();
   private stopped = false;
 
   constructor(
@@ -162,7 +164,7 @@
       const begun = m.heardAt !== null || m.unknown;
       if (!m.lost && begun && now > this.leaseEnd(m)) this.lose(m);
       // One that was taken over and could not be asked at first (no socket free, no answer) is asked again as well.
-      if (!m.synced && m.addr && !m.lost && begun) void this.contact(m, null);
+      if (!m.synced && m.addr && !m.lost && begun && !this.greeting.has(m.id)) void this.contact(m, null);
     }
   }
 
@@ -215,8 +217,10 @@
     atOnce: number,
   ): Promise<void> {
     const waiting = [...machines];
+    for (const m of waiting) this.greeting.add(m.id);
     const one = async () => {
       for (let m = waiting.shift(); m; m = waiting.shift()) {
+        this.greeting.delete(m.id);
         if (this.stopped) return;
         const guess = sessionOf(m);
         await this.contact(m, guess);
--- a/tests/standby.test.ts
+++ b/tests/standby.test.ts
@@ -316,3 +316,54 @@
   assert.equal(starts(c), 4);
   assert.ok(c.workers.every((w) => w.session === 1));
 });
+
+test('a shard of 1,400 tasks and 420 machines is taken over warm, and at rest the standbys ask nothing of the state service', async () => {
+  const c = new FakeCluster(NODES);
+  c.standby = true;
+  c.teams = [{ name: 'red', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }];
+  let asked = 0;
+  let greeted = 0;
+  let machinesAsked = 0;
+  c.net.fate = (_f, addr, _m, path) => {
+    if (addr.startsWith('10.2.0.1') && !path.startsWith('/leases')) asked++;
+    if (addr.startsWith('10.1.')) machinesAsked++;
+    if (addr.startsWith('10.1.') && path === '/show') greeted++;
+    return 'deliver';
+  };
+  for (const n of NODES) c.startNode(n);
+  await c.clock.advance(6000);
+  assert.ok([0, 1, 2].every((k) => standby(c, k)));
+  asked = 0;
+  await c.clock.advance(20_000);
+  // Each node's watch ends every 10 s; nothing else.
+  assert.ok(asked <= 3 * 3, `${asked} requests in 20 s at rest`);
+  for (let i = 0; i < 420; i++) c.addWorker('c8', 'a');
+  assert.ok(await c.submit('n0', job('wk-0', { cpus: 8 })));
+  const k = shardOf(c, 'wk-0');
+  const mine = () =>
+    [...c.state.items].filter(
+      ([key, i]) => key.startsWith('c/m/') && (i.value as { shard: number }).shard === k,
+    );
+  for (let i = 1; i <= 14; i++)
+    assert.ok(await c.submit('n0', job(`wk-${i}`, { pieces: 100, cpus: 8, expectedS: 600 })));
+  assert.ok(await c.clock.until(() => running(c) > 250, 40_000), `${running(c)} run on ${mine().length}`);
+  await c.clock.advance(8000);
+  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  const before = running(c);
+  const began = starts(c);
+  const here = mine().length;
+  [greeted, machinesAsked, asked] = [0, 0, 0];
+  c.killNode(old);
+  const at = c.clock.now();
+  assert.ok(await c.clock.until(() => owner(c, k) === next, 4000));
+  assert.ok(await c.submit(next, job('wk-99', { cpus: 8, dueS: 9000 })));
+  assert.ok(c.clock.now() - at < 3500, `${c.clock.now() - at} ms to the first answer`);
+  assert.ok(asked < 60, `${asked} requests to the state service`);
+  await c.clock.advance(1500);
+  assert.ok(greeted < here / 10, `${greeted} machines had to be asked for their session`);
+  assert.ok(machinesAsked >= here, `${machinesAsked} of ${here} machines greeted`);
+  await c.clock.advance(23_000);
+  assert.ok(running(c) >= before);
+  assert.ok(starts(c) - began <= 420 - before + 1, 'nothing that ran was started again');
+  assert.ok(c.workers.every((w) => w.session === 1));
+});
