--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -5,8 +5,7 @@
 import { type Job, jobStatus, openCount } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
 import { KEYS, type MachineRecord, readMachineRecord } from '../keys/keys.js';
-import type { Amounts } from '../plan/profile.js';
-import { mayDecide, surelyNowhere } from '../standby/checks.js';
+import { mayDecide } from '../standby/checks.js';
 import type { Taken } from '../standby/follower.js';
 import type { Keeper } from '../standby/keeper.js';
 import { StateFailure } from '../state/store.js';
@@ -32,14 +31,13 @@
 import { Starts } from './starts.js';
 import { JobTable } from './table.js';
 import { Telling } from './telling.js';
+import { Unseen } from './unseen.js';
 import { type Claim, type Standing, Waiting } from './waiting.js';
 
 const TICK_MS = 1000;
 const TELL_MS = 15_000;
 const STIR_MS = 30;
 const AGAIN_MS = 300;
-/** Machines that are there answer the greeting of a new owner within this. */
-const GREET_MS = 2500;
 
 /** One shard while this node owns it: its jobs, its machines and the plan that joins them. */
 export class Shard {
@@ -62,6 +60,7 @@
   private readonly inheritance: Inheritance;
   private readonly log: Log;
   private readonly claimedAt: number;
+  private readonly unseen: Unseen;
   private loaded = false;
   private stopped = false;
   private stirred = false;
@@ -70,10 +69,6 @@
   private planNotBefore = 0;
   private toldAt = Number.NEGATIVE_INFINITY;
   private toldAdopted = false;
-  private loadedAt = Number.POSITIVE_INFINITY;
-  private seenAll = false;
-  /** When it was last found that not all machines are known. */
-  private notAllAt = Number.NaN;
 
   constructor(
     private readonly world: World,
@@ -108,6 +103,7 @@
         this.keeper?.announce(held.map((h) => ({ job: h.job, machine: h.machine.id }))) ?? null,
       stir: () => this.stir(),
     });
+    this.unseen = new Unseen(world, this.fleet, taken?.warmth ?? null, this.log, this.claimedAt);
     this.estimates = new Estimates(world, jobs);
     this.waiting = new Waiting(world, index, jobs, this.log, {
       endedHere: (id) => this.table.endedAs(id),
@@ -149,14 +145,14 @@
     );
     this.starts = new Starts(world, term, this.fleet, jobs, this.log, {
       useOf: (h) => this.table.useOf(h),
-      unseen: () => this.unseen(),
-      nowhereElse: (job) => this.nowhereElse(job),
+      unseen: () => this.unseen.amounts(),
+      nowhereElse: (job) => this.unseen.nowhereElse(job),
       withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
       lostOwnership: () => this.lostOwnership(),
     });
     this.preemption = new Preemption(world, this.fleet, jobs, this.log, {
       ready: () => this.ready,
-      nowhereElse: (job) => this.nowhereElse(job),
+      nowhereElse: (job) => this.unseen.nowhereElse(job),
       teamUsage: () => this.starts.teamUsage(),
       free: (m) => this.starts.freeOn(m, new Map()),
       moving: (id) => this.supply.moving.has(id),
@@ -177,12 +173,12 @@
       useOf: (h) => this.table.useOf(h),
       withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
       rentals: () => this.supply.rentals,
-      unseen: () => this.unseen(),
-      heldBack: (job, now) => this.heldBack(job, now),
+      unseen: () => this.unseen.amounts(),
+      heldBack: (job, now) => this.unseen.heldBack(job, now),
     });
     this.demand = new Demand(world, index, this.fleet, jobs, this.estimates, this.supply, this.preemption, {
       teamUsage: () => this.starts.teamUsage(),
-      nowhereElse: (job) => this.nowhereElse(job),
+      nowhereElse: (job) => this.unseen.nowhereElse(job),
       guaranteed: (job) => this.planner.isGuaranteed(job),
       spare: (m) => this.isSpare(m),
     });
@@ -218,7 +214,7 @@
     this.inheritance = new Inheritance(world, taken?.warmth ?? null);
     this.telling = keeper
       ? new Telling(world, this.fleet, jobs, this.estimates, keeper, {
-          settled: (job) => this.nowhereElse(job),
+          settled: (job) => this.unseen.nowhereElse(job),
         })
       : null;
   }
@@ -261,7 +257,7 @@
         }
         this.inheritance.give(adopted, this.fleet.machines.values(), this.estimates);
         this.loaded = true;
-        this.loadedAt = this.world.clock.now();
+        this.unseen.loaded();
         this.log.info(
           { jobs: jobs.length, machines: this.fleet.machines.size, warm: this.taken !== null },
           'shard taken',
@@ -457,48 +453,6 @@
 
   // --- the plan
 
-  /** What machines that have not reported to this owner may hold. */
-  private unseen(): Amounts {
-    const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
-    for (const m of this.fleet.machines.values()) {
-      if (!m.unknown) continue;
-      const size = this.world.catalog.size(m.type);
-      sum.cpus += size.cpus;
-      sum.gpus += size.gpus;
-      sum.memoryGb += size.memoryGb;
-    }
-    return sum;
-  }
-
-  /** Whether a task of a job that is not known to be anywhere is surely nowhere. */
-  private nowhereElse(job: Job): boolean {
-    const { machines } = this.fleet;
-    return surelyNowhere(
-      { fresh: job.fresh, id: job.spec.id },
-      this.taken?.warmth ?? null,
-      this.adopted,
-      (id) => machines.get(id)?.unknown === true,
-    );
-  }
-
-  /** Machines that have not answered soon after the take-over may not do so before their leases are over. */
-  private heldBack(job: Job, now: number): number | null {
-    if (this.nowhereElse(job) || now - this.loadedAt < GREET_MS) return null;
-    let until = now;
-    for (const m of this.fleet.machines.values())
-      if (m.unknown) until = Math.max(until, this.fleet.leaseEnd(m));
-    return until;
-  }
-
-  /** Whether all that an earlier owner may have started is known; once it is, it stays so. */
-  private get adopted(): boolean {
-    const now = this.world.clock.now();
-    if (this.seenAll || this.notAllAt === now) return this.seenAll;
-    this.seenAll = this.loaded && [...this.fleet.machines.values()].every((m) => !m.unknown);
-    this.notAllAt = now;
-    return this.seenAll;
-  }
-
   private tick(): void {
     this.guarded(() => {
       const now = this.world.clock.now();
@@ -517,7 +471,7 @@
 
   /** Once all machines are known it is sure of every job where it is, which the standby should know too. */
   private tellAdopted(): void {
-    if (!this.keeper || this.toldAdopted || !this.adopted) return;
+    if (!this.keeper || this.toldAdopted || !this.unseen.adopted) return;
     this.toldAdopted = true;
     this.keeper.refresh();
   }
@@ -550,6 +504,7 @@
    * each plan there is a pause in proportion to what it took.
    */
   private replan(now: number): void {
+    this.unseen.tell(now);
     this.planner.schedule(now);
     this.fleet.pushStops();
     const after = this.world.clock.now();
