A start that waited for the standby is sent only while it still holds

Cause (found by reading): between the announcement of a start and its acknowledgement the machine may lose its lease or begin a new session, so that the task counts as gone and may start elsewhere, or the job may be cancelled; the order went out all the same. Change: what is no longer held, is to stop, or is on a machine that may not be used is not sent. The test fails without it.

--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -255,16 +255,15 @@
   }
 
   private async sendStarts(m: Machine, held: Held[]): Promise<void> {
-    const orders = held.map((h): Order => ({ op: 'start', job: h.job, index: h.index, attempt: h.attempt }));
     const announced = this.hooks.announce(held);
     if (announced !== null) {
-      if (!(await announced) || !this.live) {
-        this.refuse(held, 'never sent');
-        return;
-      }
+      const clear = await announced;
+      held = this.stillWanted(m, held, clear && this.live);
+      if (held.length === 0) return;
       // What it is sent under is what makes it void later.
       for (const h of held) h.token = m.token;
     }
+    const orders = held.map((h): Order => ({ op: 'start', job: h.job, index: h.index, attempt: h.attempt }));
     try {
       const executed = await this.command(m, orders, m.session, () => {
         for (const h of held) if (h.phase === 'sending') h.phase = 'known';
@@ -285,6 +284,19 @@
     }
   }
 
+  /**
+   * Of starts that had to wait before they could be sent, those that may still be. Meanwhile the machine may have lost its lease
+   * or begun a new session, so that the task counts as gone and may be starting elsewhere, or the task may be to stop.
+   */
+  private stillWanted(m: Machine, held: Held[], mayStart: boolean): Held[] {
+    const usable = mayStart && m.synced && !m.lost && !m.leaving && m.noticeUntil === null;
+    const there = held.filter((h) => this.machines.get(m.id) === m && m.held.get(keyOf(h)) === h);
+    const wanted = usable ? there.filter((h) => h.stop === null) : [];
+    const not = there.filter((h) => !wanted.includes(h));
+    if (not.length > 0) this.refuse(not, 'never sent');
+    return wanted;
+  }
+
   private refuse(held: Held[], why: GoneWhy): void {
     for (const h of held) {
       if (h.phase !== 'sending') continue;
--- a/tests/standby.test.ts
+++ b/tests/standby.test.ts
@@ -367,3 +367,41 @@
   assert.ok(starts(c) - began <= 420 - before + 1, 'nothing that ran was started again');
   assert.ok(c.workers.every((w) => w.session === 1));
 });
+
+// Guards against an order that outlives its reason: while a start waits for the standby's acknowledgement, its machine may begin
+// a new session or its job be cancelled, and the task may be starting elsewhere.
+test('a start that waits for the standby is not sent when its job is cancelled or its machine has begun anew', async () => {
+  const c = await warm(6);
+  const k = shardOf(c);
+  const own = owner(c, k)!;
+  const ordered: string[] = [];
+  c.net.fate = (_f, _a, _m, path, body) => {
+    if (path === '/do') ordered.push(JSON.stringify(body));
+    return 'deliver';
+  };
+  c.workers.find((w) => w.on('wk-1/0'))!.end('wk-1/0', 'done');
+  await c.clock.advance(3000);
+  assert.ok(await c.submit(own, job('wk-5', { cpus: 4 })));
+  assert.ok(await c.clock.until(() => c.workers.some((w) => w.on('wk-5/0')), 5000));
+  c.lostAnswers.add('stand');
+  assert.ok(await c.submit(own, job('wk-6', { cpus: 4 })));
+  await c.clock.advance(200);
+  assert.ok(!ordered.some((o) => o.includes('wk-6')), 'announced, and not acknowledged');
+  assert.equal((await c.call(own, 'POST', '/api/jobs/wk-6/abort')).status, 200);
+  c.lostAnswers.clear();
+  await c.clock.advance(10_000);
+  assert.ok(!ordered.some((o) => o.includes('"verb":"run"') && o.includes('wk-6')), 'and never sent');
+  assert.equal(starts(c), 5);
+  // The machines begin anew while a start waits.
+  c.lostAnswers.add('stand');
+  assert.ok(await c.submit(own, job('wk-7', { cpus: 4 })));
+  await c.clock.advance(100);
+  for (const w of c.workers) {
+    w.lastSent = Number.NEGATIVE_INFINITY;
+    w.checkLease();
+  }
+  await c.clock.advance(300);
+  c.lostAnswers.clear();
+  await c.clock.advance(15_000);
+  assert.equal(c.workers.filter((w) => w.on('wk-7/0')).length, 1, 'once');
+});
