Reads of records go one after the other; a former owner is not followed any more

Cause (found by reading): two listings at once could put back a job that had ended in between, which a new owner would have called queued after its user was told done; and an owner cut off from the state service went on telling its standby of a shard that was another's by then, which made it list all records again each time.

--- a/src/standby/follower.ts
+++ b/src/standby/follower.ts
@@ -75,6 +75,8 @@
     // A run of this node before this one may have sent a claim that is still under way: it is not this one's to answer for.
     if (!m || m.run !== this.hooks.run) return null;
     const known = this.shards.get(m.shard);
+    // A former owner that does not know yet that it is none.
+    if (!known && this.isOver(m.shard, m.term, m.revision)) return null;
     const vigil = answering(known?.vigil ?? null, m.term, m.revision, this.hooks.now());
     if (!vigil) return null;
     let f = known;
@@ -121,12 +123,7 @@
 
   private look(shard: number, f: Followed): void {
     const now = this.hooks.now();
-    const seen = this.hooks.seen(shard);
-    const { term, revision } = f.vigil;
-    // Struck off, or a later owner's: what this copy shows is newer than what the vigil is for.
-    const over = (version: number, mine: number) =>
-      version > mine || (version === 0 && seen.revision >= revision);
-    if (!f.claimingNow && (over(seen.owner, term) || over(seen.standby, revision))) {
+    if (!f.claimingNow && this.isOver(shard, f.vigil.term, f.vigil.revision)) {
       this.leave(shard, f);
       return;
     }
@@ -145,6 +142,14 @@
     void this.claim(shard, f);
   }
 
+  /** Struck off, or a later owner's: what this node's copy of the keys shows is newer than the vigil. */
+  private isOver(shard: number, term: number, revision: number): boolean {
+    const seen = this.hooks.seen(shard);
+    const over = (version: number, mine: number) =>
+      version > mine || (version === 0 && seen.revision >= revision);
+    return over(seen.owner, term) || over(seen.standby, revision);
+  }
+
   private leave(shard: number, f: Followed): void {
     if (this.shards.get(shard) !== f) return;
     this.shards.delete(shard);
--- a/src/standby/records.ts
+++ b/src/standby/records.ts
@@ -1,8 +1,10 @@
+import { Mutex } from 'async-mutex';
 import type { Log } from '../config/log.js';
 import { type LoadedJob, readChunk, readLoaded, shardOfRecord } from '../jobs/records.js';
 import { KEYS } from '../keys/keys.js';
 import type { Entry } from '../wire/state.js';
 import type { World } from '../world/world.js';
+import { recordsComplete } from './checks.js';
 
 /** Changes are read no more often than this while there are some, and not at all while there are none. */
 const READ_EVERY_MS = 5000;
@@ -14,9 +16,14 @@
 export class RecordCopy {
   private readonly jobs = new Map<string, { shard: number; loaded: LoadedJob }>();
   private readonly shards = new Set<number>();
+  /** All changes up to it are in the copy; 0 when all has to be read. */
   private revision = 0;
   private readAt = Number.NEGATIVE_INFINITY;
-  private reading: Promise<void> | null = null;
+  /**
+   * Reads go one after the other: of two at once the older could put back a job that had ended, and a new owner would
+   * call it queued.
+   */
+  private readonly mutex = new Mutex();
 
   constructor(
     private readonly world: World,
@@ -31,8 +38,12 @@
   follow(shard: number): void {
     if (this.shards.has(shard)) return;
     this.shards.add(shard);
-    this.revision = 0;
-    void this.read().catch((error) => this.log.debug({ error: String(error) }, 'records not read yet'));
+    void this.mutex
+      .runExclusive(async () => {
+        this.revision = 0;
+        await this.read();
+      })
+      .catch((error) => this.log.debug({ error: String(error) }, 'records not read yet'));
   }
 
   leave(shard: number): void {
@@ -42,39 +53,28 @@
 
   /** The owner has changed something since. */
   changed(): void {
-    if (this.reading || this.world.clock.now() - this.readAt < READ_EVERY_MS) return;
-    void this.read().catch((error) => this.log.debug({ error: String(error) }, 'changes not read yet'));
+    if (this.mutex.isLocked() || this.world.clock.now() - this.readAt < READ_EVERY_MS) return;
+    void this.mutex
+      .runExclusive(() => this.read())
+      .catch((error) => this.log.debug({ error: String(error) }, 'changes not read yet'));
   }
 
   /**
    * All unfinished jobs of a shard with all changes up to a revision; null when they have to be read anew. Throws when the
    * state service does not answer.
    */
-  async upTo(revision: number, shard: number): Promise<{ jobs: LoadedJob[]; changes: number } | null> {
-    if (!this.shards.has(shard)) return null;
-    await this.reading?.catch(() => undefined);
-    if (this.revision === 0) return null;
-    const changes = this.revision < revision ? await this.read() : 0;
-    if (this.revision < revision) return null;
-    const jobs = [...this.jobs.values()].filter((j) => j.shard === shard).map((j) => j.loaded);
-    return { jobs, changes };
-  }
-
-  /** Reads what has changed; returns how many changes that were. */
-  private read(): Promise<number> {
-    const reading = this.readNow();
-    const done = reading.then(
-      () => undefined,
-      () => undefined,
-    );
-    this.reading = done;
-    void done.then(() => {
-      if (this.reading === done) this.reading = null;
+  upTo(revision: number, shard: number): Promise<{ jobs: LoadedJob[]; changes: number } | null> {
+    return this.mutex.runExclusive(async () => {
+      if (!this.shards.has(shard) || this.revision === 0) return null;
+      const changes = recordsComplete(this.revision, revision) ? 0 : await this.read();
+      if (!recordsComplete(this.revision, revision)) return null;
+      const jobs = [...this.jobs.values()].filter((j) => j.shard === shard).map((j) => j.loaded);
+      return { jobs, changes };
     });
-    return reading;
   }
 
-  private async readNow(): Promise<number> {
+  /** Reads what has changed, or all of it; returns how many changes or records that were. */
+  private async read(): Promise<number> {
     const { store, clock } = this.world;
     this.readAt = clock.now();
     if (this.revision > 0) {
@@ -88,6 +88,7 @@
         return result.changes.length;
       }
     }
+    this.revision = 0;
     const { entries, revision } = await store.list(KEYS.active);
     this.jobs.clear();
     for (const e of entries) await this.apply(e);
