--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -100,6 +100,8 @@
     private readonly limits: RecordLimits,
     /** Whether every node reads what the first version did not know. */
     private readonly allRead: () => boolean,
+    /** A record of a job has been changed. */
+    private readonly changed: () => void = () => undefined,
   ) {
     this.perChunk = chunkTasks(limits.valueKb);
     this.formerPerChunk = chunkTasks(limits.layoutKb);
@@ -112,6 +114,7 @@
   private async write(when: Condition[], writes: Write[]): Promise<TxnResult> {
     const result = await this.store.txn([this.owned, ...when], writes);
     if (!result.ok && result.failed.includes(this.owned.key)) throw new NotOwner();
+    if (result.ok) this.changed();
     return result;
   }
 
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -91,6 +91,7 @@
       term,
       { ...world.settings.stateLimits, layoutKb: world.settings.layoutKb },
       () => others.allRead(),
+      () => keeper?.recordsChanged(),
     );
     this.fleet = new Fleet(world.clock, world.http, world.settings.workers.leaseS, this.log, {
       entitled: () => this.entitled,
--- a/src/standby/keeper.ts
+++ b/src/standby/keeper.ts
@@ -65,7 +65,7 @@
   private nameFrom = 0;
   private toldAt = 0;
   /** Changes of job records, counted: the standby reads them when there were some. */
-  changes = 0;
+  private changes = 0;
   /** The longest that an acknowledgement took since it was last told, in milliseconds. */
   private slowestMs = 0;
 
@@ -150,6 +150,11 @@
     if (!s.flying && (now - s.sentAt >= EVERY_MS || s.feed.urgent)) void this.send(s);
   }
 
+  /** Records of jobs have changed in the state service. */
+  recordsChanged(): void {
+    this.changes++;
+  }
+
   /** Tells the standby, if there is one, with the next message. */
   note(record: FeedRecord): void {
     this.standby?.feed.add(record);
--- a/tests/standby.test.ts
+++ b/tests/standby.test.ts
@@ -324,7 +324,10 @@
   let asked = 0;
   let greeted = 0;
   let machinesAsked = 0;
+  const readFrom: number[] = [];
   c.net.fate = (_f, addr, _m, path) => {
+    const since = /^\/watch\?under=act%2F&since=(\d+)&waitMs=0/.exec(path);
+    if (since) readFrom.push(Number(since[1]));
     if (addr.startsWith('10.2.0.1') && !path.startsWith('/leases')) asked++;
     if (addr.startsWith('10.1.')) machinesAsked++;
     if (addr.startsWith('10.1.') && path === '/show') greeted++;
@@ -352,12 +355,18 @@
   const before = running(c);
   const began = starts(c);
   const here = mine().length;
+  const late = c.state.items.get('act/wk-14')!.version;
+  readFrom.length = 0;
   [greeted, machinesAsked, asked] = [0, 0, 0];
   c.killNode(old);
   const at = c.clock.now();
   assert.ok(await c.clock.until(() => owner(c, k) === next, 4000));
   assert.ok(await c.submit(next, job('wk-99', { cpus: 8, dueS: 9000 })));
   assert.ok(c.clock.now() - at < 3500, `${c.clock.now() - at} ms to the first answer`);
+  assert.ok(
+    readFrom.length > 0 && readFrom.every((r) => r >= late),
+    'only what changed in the last seconds is read',
+  );
   assert.ok(asked < 60, `${asked} requests to the state service`);
   await c.clock.advance(1500);
   assert.ok(greeted < here / 10, `${greeted} machines had to be asked for their session`);
