A completed task counts as on its machine for the standby until that is stored

Cause (found by reading): a completion is gathered for up to 2 s before it is stored; an owner that crashed meanwhile had said that the task is on no machine, and the standby started it anew elsewhere before its machine reported. No rule broken, but work done twice. The test fails without it: a fifth start.

--- a/src/shard/progress.ts
+++ b/src/shard/progress.ts
@@ -18,7 +18,7 @@
   stopped(): boolean;
   stir(): void;
   lostOwnership(): Error;
-  /** An attempt is surely no longer on its machine. */
+  /** An attempt is surely no longer on its machine, and nothing of it is still to be stored. */
   left(job: Job, h: Held): void;
   /** A task has begun to run, or a machine to hold an image. */
   running(h: Held): void;
@@ -146,7 +146,8 @@
    */
   private leave(job: Job, h: Held): void {
     job.doubles.delete(h);
-    this.hooks.left(job, h);
+    // A completed one counts until its completion is stored: who takes over would start it again elsewhere.
+    if (h.cause !== 'done') this.hooks.left(job, h);
     if (job.places.get(h.index) !== h) return;
     job.places.delete(h.index);
     for (const other of job.doubles) {
@@ -208,8 +209,10 @@
       void this.flush(job);
       return;
     }
-    for (const h of job.unsettled) h.settled = true;
-    job.unsettled.length = 0;
+    for (const h of job.unsettled.splice(0)) {
+      h.settled = true;
+      this.hooks.left(job, h);
+    }
   }
 
   /** A job has been stored as over: nothing of it is wanted on machines any more. */
--- a/src/shard/telling.ts
+++ b/src/shard/telling.ts
@@ -42,6 +42,7 @@
   private *placesOf(job: Job): Iterable<Held> {
     yield* job.places.values();
     yield* job.doubles;
+    yield* job.unsettled;
   }
 
   private recordOf(m: Machine): FeedRecord {
@@ -68,7 +69,7 @@
     };
   }
 
-  /** An attempt is surely no longer on its machine. */
+  /** An attempt is surely no longer on its machine, and nothing of it is still to be stored. */
   left(job: Job, h: Held): void {
     for (const other of this.placesOf(job)) if (other !== h && other.machine === h.machine) return;
     this.keeper.note({ t: 'off', job: job.spec.id, machine: h.machine.id });
--- a/tests/standby.test.ts
+++ b/tests/standby.test.ts
@@ -414,3 +414,26 @@
   await c.clock.advance(15_000);
   assert.equal(c.workers.filter((w) => w.on('wk-7/0')).length, 1, 'once');
 });
+
+test('a task that was done, but not stored as done, when its owner crashed is not started again elsewhere', async () => {
+  const c = await warm(6);
+  const k = shardOf(c);
+  const old = owner(c, k)!;
+  const [first, second] = ['wk-1/0', 'wk-1/1'].map((p) => c.workers.find((w) => w.on(p))!);
+  first!.end('wk-1/0', 'done');
+  await c.clock.advance(1200);
+  // The first completion has just been stored; the next one is gathered with those after it.
+  second!.end('wk-1/1', 'done');
+  await c.clock.advance(1000);
+  c.killNode(old);
+  c.silent.add(second!);
+  c.net.fate = (_f, addr) => (addr === second!.place.addr ? 'silent' : 'deliver');
+  await c.clock.advance(9000);
+  assert.notEqual(owner(c, k), old);
+  assert.equal(starts(c), 4, 'the machine that has it does not answer yet');
+  c.silent.delete(second!);
+  c.net.fate = () => 'deliver';
+  await c.clock.advance(8000);
+  assert.equal(((await c.call(owner(c, k)!, 'GET', '/api/jobs/wk-1')).body as { done: number }).done, 2);
+  assert.equal(starts(c), 4);
+});
