--- a/src/standby/keeper.ts
+++ b/src/standby/keeper.ts
@@ -11,7 +11,7 @@
 import { acknowledged, mayAct, type Pledge, PROMISE_MS, sending, struckOff, UNBOUND } from './promise.js';
 
 /** The owner's messages to its standby. */
-const EVERY_MS = 500;
+const EVERY_MS = 800;
 const LOOK_MS = 250;
 /** A standby that has not acknowledged anything sent since this long ago is struck off, well before the promise ends. */
 const SILENT_MS = 700;
--- a/src/standby/promise.ts
+++ b/src/standby/promise.ts
@@ -7,7 +7,7 @@
  */
 
 /** How long an owner may act after it sent a message that its standby acknowledged. */
-export const PROMISE_MS = 1600;
+export const PROMISE_MS = 2000;
 /** Beside drift, for clocks that are read in steps. */
 const MARGIN_MS = 50;
 
