A machine that hears nothing is waited for no longer than its lease, and gets no tasks

Cause: each report counted as answered, so that after a change of owner the machine stayed unseen for as long as it was deaf: nothing adopted could start, and its whole size counted against every team. The plan booked tasks on it as free in 1.5 s. An owner whose machines are all deaf stood aside, since others sent them to it and at a moment none came. Change: no more than two answers in a row to reports that do not show the present token; what former owners started is over a lease after the change or the last answer, whatever sessions came since; a machine that others are reported to by is asked, and stays closed until it answers or reports here regularly; only a node that sends a machine twice speaks against the owner.

--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -93,7 +93,7 @@
       () => others.allRead(),
       () => keeper?.recordsChanged(),
     );
-    this.fleet = new Fleet(world.clock, world.http, world.settings.workers.leaseS, this.log, {
+    this.fleet = new Fleet(world.clock, world.http, world.settings.workers, this.log, {
       entitled: () => this.entitled,
       renewRecord: (m) => this.supply.writeRecord(m),
       found: (h) => this.progress.found(h),
@@ -255,6 +255,7 @@
         for (const m of this.fleet.machines.values()) {
           m.unknown = true;
           m.answeredAt = this.claimedAt;
+          m.givenAt = this.claimedAt;
         }
         this.inheritance.give(adopted, this.fleet.machines.values(), this.estimates);
         this.loaded = true;
@@ -349,6 +350,7 @@
       synced: false,
       unknown: false,
       answeredAt: now,
+      givenAt: now,
       heardAt: null,
       lost: false,
       rentedAt: now - Math.max(0, this.world.clock.wall() - r.rentedAt),
@@ -357,6 +359,7 @@
       images: new Map(),
       idleSince: now,
       unreachableAt: null,
+      unheard: 0,
       errors: 0,
       closedUntil: 0,
     });
--- a/src/shard/unseen.ts
+++ b/src/shard/unseen.ts
@@ -67,7 +67,7 @@
     const where = this.warmth?.mayBeOn(job.spec.id) ?? null;
     for (const id of where ?? this.fleet.machines.keys()) {
       const m = this.fleet.machines.get(id);
-      if (m?.unknown) until = Math.max(until, this.fleet.leaseEnd(m));
+      if (m?.unknown) until = Math.max(until, this.fleet.unknownUntil(m));
     }
     return until;
   }
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -180,7 +180,8 @@
         return null;
       }
       case 'sent':
-        this.own.reach.sentHere(String(a.machine));
+        this.own.reach.sentHere(String(a.machine), from);
+        for (const s of this.own.shards.values()) s.fleet.strayed(String(a.machine));
         return null;
       case 'give': {
         const shard = this.own.shards.get(Number(a.shard));
--- a/src/shards/reach.ts
+++ b/src/shards/reach.ts
@@ -17,13 +17,15 @@
 interface Told {
   first: number;
   last: number;
-  times: number;
+  /** How often each node has sent it. */
+  times: Map<string, number>;
 }
 
 /**
  * Whether the machines of this node's shards can reach it. A node that only the workers are cut off from can still renew
  * its lease, so nobody else would take its shards. What shows it is that machines report to other nodes, are sent here,
- * and do not come; a machine that is at fault itself reports to nobody.
+ * and do not come, but report to the same node again. A machine that is at fault itself reports to nobody, or hears no answers:
+ * that one goes from node to node, and passes here in its turn.
  */
 export class Reach {
   private readonly told = new Map<string, Told>();
@@ -36,13 +38,15 @@
   constructor(private readonly clock: Clock) {}
 
   /** Another node has sent a machine here. */
-  sentHere(machine: string): void {
+  sentHere(machine: string, by: string): void {
     const now = this.clock.now();
-    const t = this.told.get(machine);
-    if (t && now - t.last < TOLD_MS) {
-      t.times++;
-      t.last = now;
-    } else this.told.set(machine, { first: now, last: now, times: 1 });
+    let t = this.told.get(machine);
+    if (!t || now - t.last >= TOLD_MS) {
+      t = { first: now, last: now, times: new Map() };
+      this.told.set(machine, t);
+    }
+    t.times.set(by, (t.times.get(by) ?? 0) + 1);
+    t.last = now;
   }
 
   heard(machine: string): void {
@@ -59,7 +63,7 @@
     let astray = 0;
     for (const [machine, t] of this.told) {
       if (now - t.last > TOLD_MS) this.told.delete(machine);
-      else if (t.times >= SENT_TIMES && now - t.first >= SENT_OVER_MS) astray++;
+      else if (Math.max(...t.times.values()) >= SENT_TIMES && now - t.first >= SENT_OVER_MS) astray++;
     }
     return astray >= Math.max(FEWEST, known * SHARE);
   }
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -57,6 +57,12 @@
 const SHOW_MS = 2000;
 const CONTACT_EVERY_MS = 1500;
 const LEASE_MARGIN_MS = 500;
+/**
+ * So many answers in a row may go to a machine whose reports do not show the present token. One that still does not is deaf:
+ * answered on, it would count as renewed for ever, and all that may be on it would be waited for.
+ */
+const UNHEARD_MOST = 2;
+const UNHEARD_LEASES = 2;
 
 /** Dealings with the machines of one shard. */
 export class Fleet {
@@ -72,7 +78,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly http: Requester,
-    private readonly leaseS: number,
+    private readonly times: { reportS: number; leaseS: number },
     private readonly log: Log,
     private readonly hooks: FleetHooks,
   ) {}
@@ -90,10 +96,15 @@
     if (!this.live) return null;
     const absorbed = this.absorb(m, r, 'report');
     if (absorbed === 'late' || absorbed === 'foreign') return null;
+    if (absorbed === 'untokened') {
+      void this.contact(m, r.session);
+      // Now and then it is answered all the same: it may hear by now, and be out of reach for orders alone.
+      const lately = this.clock.now() - m.givenAt < this.times.leaseS * 1000 * UNHEARD_LEASES;
+      if (++m.unheard > UNHEARD_MOST && lately) return null;
+    }
     m.answeredAt = this.clock.now();
-    const orders = absorbed === 'ok' ? this.pendingOrders(m) : [];
-    if (absorbed === 'untokened') void this.contact(m, r.session);
-    return writeOrders(m.token, orders);
+    m.givenAt = m.answeredAt;
+    return writeOrders(m.token, absorbed === 'ok' ? this.pendingOrders(m) : []);
   }
 
   /** Starts tasks on a machine that has reported under the present token. */
@@ -163,14 +174,49 @@
       // A machine that still boots has no lease to run out, and stays in the plan.
       const begun = m.heardAt !== null || m.unknown;
       if (!m.lost && begun && now > this.leaseEnd(m)) this.lose(m);
+      if (m.unknown && now > this.unknownUntil(m)) {
+        m.unknown = false;
+        this.hooks.stir();
+      }
       // One that was taken over and could not be asked at first (no socket free, no answer) is asked again as well.
-      if (!m.synced && m.addr && !m.lost && begun && !this.greeting.has(m.id)) void this.contact(m, null);
+      // So is one that gave no answer, until it gives one: its reports alone do not show that it hears.
+      const asked = !m.synced || m.unreachableAt !== null;
+      if (asked && m.addr && !m.lost && begun && !this.greeting.has(m.id)) void this.contact(m, null);
     }
   }
 
+  /**
+   * Another node was reported to by a machine of this shard and sent it here. As long as it neither comes nor answers it gets
+   * nothing new: it may hear no answers, which is a fault of its own.
+   */
+  strayed(id: string): void {
+    const m = this.machines.get(id);
+    if (!m?.synced || m.heardAt === null || this.clock.now() - m.heardAt <= this.staysMs) return;
+    m.unreachableAt ??= this.clock.now();
+    void this.contact(m, null);
+  }
+
+  /** A machine that hears the answers to its reports sends the next one to the same node within this. */
+  private get staysMs(): number {
+    return this.times.reportS * 1250 + 500;
+  }
+
   /** When the machine has surely dropped all that it held, unless it reports before. */
   leaseEnd(m: Machine): number {
-    return m.answeredAt + this.leaseS * 1000 * (1 + 2 * DRIFT) + LEASE_MARGIN_MS;
+    return this.leaseFrom(m.answeredAt);
+  }
+
+  /**
+   * When the machine has surely dropped all that owners before this one have started there: by the end of any session that
+   * began under them. That one lasts no longer than a lease from the change of owner, or from the last answer of this owner's,
+   * whatever sessions have begun since.
+   */
+  unknownUntil(m: Machine): number {
+    return this.leaseFrom(m.givenAt);
+  }
+
+  private leaseFrom(at: number): number {
+    return at + this.times.leaseS * 1000 * (1 + 2 * DRIFT) + LEASE_MARGIN_MS;
   }
 
   /** The machine is no more. */
@@ -187,12 +233,12 @@
    */
   async contact(m: Machine, session: number | null): Promise<void> {
     const last = this.contactedAt.get(m.id) ?? Number.NEGATIVE_INFINITY;
-    if (m.synced || !m.addr || this.contacting.has(m.id)) return;
+    if ((m.synced && m.unreachableAt === null) || !m.addr || this.contacting.has(m.id)) return;
     if (session === null && this.clock.now() - last < CONTACT_EVERY_MS) return;
     this.contacting.add(m.id);
     this.contactedAt.set(m.id, this.clock.now());
     try {
-      let shift = session;
+      let shift = session ?? (m.synced ? m.session : null);
       if (shift === null) {
         const shown = await this.http.request(m.addr, 'GET', WORKER_PATHS.show, null, SHOW_MS);
         const r = readReport(shown.body);
@@ -201,7 +247,8 @@
       }
       if (this.live) await this.command(m, [], shift);
     } catch {
-      // It is asked again, and its own reports come as well.
+      // It is asked again, and its own reports come as well. Until it answers, nothing is planned on it.
+      if (m.heardAt !== null) m.unreachableAt = this.clock.now();
     } finally {
       this.contacting.delete(m.id);
     }
@@ -365,19 +412,20 @@
       m.idleSince = now;
       this.hooks.stir();
     }
+    if (via === 'command' || (m.heardAt !== null && now - m.heardAt <= this.staysMs)) m.unreachableAt = null;
     m.heardAt = now;
     if (m.lost) {
       m.lost = false;
       m.answeredAt = now;
       this.hooks.stir();
     }
-    if (via === 'report') m.unreachableAt = null;
     if (r.noticeS !== null) {
       const until = now + r.noticeS * 1000;
       if (m.noticeUntil === null) this.hooks.stir();
       m.noticeUntil = m.noticeUntil === null ? until : Math.min(m.noticeUntil, until);
     }
     if (r.token < m.token) return 'untokened';
+    m.unheard = 0;
     if (!m.synced) {
       m.synced = true;
       this.hooks.stir();
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -45,6 +45,8 @@
   unknown: boolean;
   /** Its lease counts from here at the latest. */
   answeredAt: number;
+  /** When this owner last answered a report of it with 200, or took it over. */
+  givenAt: number;
   heardAt: number | null;
   /** Its lease surely ran out with no report since. */
   lost: boolean;
@@ -53,7 +55,10 @@
   held: Map<string, Held>;
   images: Map<number, number>;
   idleSince: number | null;
+  /** When it last gave no answer to a question or an order; null once it has answered one, or stays with this node. */
   unreachableAt: number | null;
+  /** Answers to its reports since it should have shown the present token. */
+  unheard: number;
   errors: number;
   closedUntil: number;
 }
--- a/tests/reach.test.ts
+++ b/tests/reach.test.ts
@@ -10,7 +10,7 @@
   const clock = new FakeClock();
   const reach = new Reach(clock);
   const send = (n: number) => {
-    for (let i = 0; i < n; i++) reach.sentHere(`m-${i}`);
+    for (let i = 0; i < n; i++) reach.sentHere(`m-${i}`, 'n1');
   };
   send(10);
   assert.equal(reach.cutOff(10, 0), false, 'sent once');
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -75,6 +75,12 @@
   /** Which node each worker reports to. */
   private readonly reportsTo = new Map<Worker, string>();
   readonly silent = new Set<Worker>();
+  /** Sees every report that a worker sends. */
+  reported: ((report: object) => void) | null = null;
+  /** Workers whose reports arrive, while no answer and no order reaches them. */
+  readonly deaf = new Set<Worker>();
+  /** When a deaf worker gives up waiting and reports to the next node. */
+  private readonly deafUntil = new Map<Worker, number>();
   /** Nodes that no worker reaches, while all else does. */
   readonly cutFromWorkers = new Set<string>();
   capacity = false;
@@ -117,7 +123,9 @@
     const id = `m-${String(n).padStart(6, '0')}`;
     const addr = `10.1.${n >> 8}.${n & 255}:9000`;
     const worker = new Worker(this.clock, { id, addr, type, zone, spot }, LEASE_S);
-    this.net.peers.set(addr, (m, p, b) => worker.serve(m, p, b));
+    this.net.peers.set(addr, (m, p, b) =>
+      this.deaf.has(worker) ? new Promise(() => undefined) : worker.serve(m, p, b),
+    );
     this.workers.push(worker);
     return worker;
   }
@@ -278,6 +286,11 @@
     const next = this.names[(this.names.indexOf(at) + 1) % this.names.length]!;
     const running = this.nodes.get(at);
     const sent = this.clock.now();
+    const deaf = this.deaf.has(w);
+    if (deaf) {
+      if (sent < (this.deafUntil.get(w) ?? 0)) return;
+      this.deafUntil.set(w, sent + 5000);
+    }
     if (!running || running.cut || this.cutFromWorkers.has(at)) {
       this.reportsTo.set(w, next);
       return;
@@ -285,19 +298,15 @@
     // No answer in time, as from a node that stands still.
     const timer = this.clock.after(4000, () => this.reportsTo.get(w) === at && this.reportsTo.set(w, next));
     this.reportsTo.set(w, at);
-    void running.api
-      .handle({
-        method: 'POST',
-        path: '/v1/report',
-        query: new URLSearchParams(),
-        headers: new Map(),
-        body: Buffer.from(JSON.stringify(w.report())),
-      })
-      .then((reply) => {
-        timer.cancel();
-        if (reply.status === 200) w.answer(JSON.parse(JSON.stringify(reply.body)), sent);
-        else this.reportsTo.set(w, readRedirect(reply.body) ?? next);
-      });
+    const report = w.report();
+    this.reported?.(report);
+    void running.api.handle(this.request('POST', '/v1/report', report)).then((reply) => {
+      // It waits 4 s in vain, and a second later it is the next node's turn.
+      if (deaf) return;
+      timer.cancel();
+      if (reply.status === 200) w.answer(JSON.parse(JSON.stringify(reply.body)), sent);
+      else this.reportsTo.set(w, readRedirect(reply.body) ?? next);
+    });
   }
 
   private type(name: string, cpus: number, gpus: number): MachineType {
--- a/tests/waiting.test.ts
+++ b/tests/waiting.test.ts
@@ -312,6 +312,8 @@
     synced: true,
     noticeUntil: null,
     unreachableAt: null,
+    unheard: 0,
+    givenAt: 0,
     held: new Map(),
   } as unknown as Machine;
   const ordered: string[] = [];
