A late copy of a report brings back no machine that is gone

Cause: a copy from a machine that was given back was dealt out as a new machine, and its places were planned with until it counted as never come up. Change: a name that was given back is never dealt again; one that the cloud does not list is asked first whether it is there.

--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -5,6 +5,7 @@
 import type { Gossip, Need } from '../supply/gossip.js';
 import { chooseCeding, chooseClearing, matchSpares, shardFor } from '../supply/moves.js';
 import type { ListedMachine } from '../wire/cloud.js';
+import { readReport, WORKER_PATHS } from '../wire/workers.js';
 import type { World } from '../world/world.js';
 import type { Mirror } from './mirror.js';
 
@@ -44,6 +45,9 @@
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
 const STRAY_GRACE_MS = 400;
 const BOOTING_GRACE_MS = 8000;
+/** Machines that the cloud does not list are asked whether they are there: so many at once, no longer than this each. */
+const ASKED_AT_ONCE = 16;
+const ASK_MS = 1500;
 
 /**
  * The leader's work: it parts teams and unassigned machines among the shards and moves empty machines to where tasks
@@ -51,7 +55,11 @@
  */
 export class Leader {
   private readonly gossip = new Map<number, { at: number; told: Gossip }>();
-  private readonly strays = new Map<string, { stray: Stray; since: number; reported: boolean }>();
+  private readonly strays = new Map<
+    string,
+    { stray: Stray; since: number; reported: boolean; there?: boolean; asking?: boolean }
+  >();
+  private asking = 0;
   private readonly given = new Map<string, number>();
   private stopped = false;
   private dealing = false;
@@ -80,6 +88,8 @@
 
   /** A machine that no record names has reported. */
   seen(stray: Stray): void {
+    // A copy of its report that comes late: a name that was given back is never used again.
+    if (this.world.goneMachines.has(stray.id)) return;
     const known = this.strays.get(stray.id);
     if (known) {
       if (!known.reported) known.since = this.world.clock.now();
@@ -174,7 +184,9 @@
     const due: Stray[] = [];
     for (const [id, s] of this.strays) {
       if (this.mirror.entries.has(KEYS.machine(id))) this.strays.delete(id);
-      else if (now - s.since >= (s.reported ? STRAY_GRACE_MS : BOOTING_GRACE_MS)) due.push(s.stray);
+      else if (now - s.since >= (s.reported ? STRAY_GRACE_MS : BOOTING_GRACE_MS)) {
+        if (this.isThere(id, s)) due.push(s.stray);
+      }
     }
     if (due.length === 0 || !this.mirror.entries.has(KEYS.teams)) return;
     this.dealing = true;
@@ -208,6 +220,29 @@
     }
   }
 
+  /**
+   * Whether a machine that nobody has is there: the cloud lists it, or it answers. A report alone does not show that: it may be
+   * a late copy, and the machine long gone, so that its place would be planned with until it counts as never come up.
+   */
+  private isThere(id: string, s: { stray: Stray; there?: boolean; asking?: boolean }): boolean {
+    if (s.there || this.world.catalog.listedById.has(id)) return true;
+    if (s.asking || this.asking >= ASKED_AT_ONCE) return false;
+    s.asking = true;
+    this.asking++;
+    void this.world.http
+      .request(s.stray.addr, 'GET', WORKER_PATHS.show, null, ASK_MS)
+      .then((shown) => {
+        s.there = readReport(shown.body)?.machine === id;
+      })
+      // It is asked again when it reports again.
+      .catch(() => this.strays.delete(id))
+      .finally(() => {
+        s.asking = false;
+        this.asking--;
+      });
+    return false;
+  }
+
   private recordFor(s: Stray, counts: Map<string, number[]>): MachineRecord {
     const shard = this.poorest(s, counts);
     return {
