Any job begins within four minutes, whatever stands before it

Cause: what has missed all of its aims, or has none, stood behind urgent work for good, and behind what other teams are guaranteed. Change: a job that has not begun after half of that time presses, one at a time or a tenth of the shard: it goes with urgent work, by its acceptance, until one of its tasks has run for 30 s. 'job begun' in the log says how long each waited.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -40,6 +40,8 @@
   doomed: boolean;
   /** Priority and deadline, its own or those of the most urgent job that needs it. */
   priority: number;
+  /** A task of it has run under this owner: told once. */
+  begun: boolean;
   /** Goes with more urgent work for now, since its last aim is near; it stops nothing. */
   pressing: boolean;
   dueWall: number;
@@ -115,6 +117,7 @@
     waitsFor: new Set(),
     doomed: false,
     priority: spec.priority,
+    begun: false,
     pressing: false,
     dueWall: record.deadline,
     version: record.version,
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -116,7 +116,8 @@
     const byAims = (a: Job, b: Job) => aims.get(a)! - aims.get(b)!;
     // What a team is guaranteed goes to those of its jobs that can still use it.
     const { partly } = withinGuarantee([...jobs].sort(byAims), teams);
-    const rank = (job: Job) => (partly.has(job) ? 0 : 1);
+    // What presses is little, and would wait for ever behind what others are guaranteed.
+    const rank = (job: Job) => (partly.has(job) || job.pressing ? 0 : 1);
     const inUse = this.inUse();
     const cpus = Math.max(1, this.cpus(inUse));
     const turns = new Map<Job, number>();
--- a/src/shard/pressing.ts
+++ b/src/shard/pressing.ts
@@ -6,13 +6,18 @@
 
 /** A job presses when no more than this share of the time for its last aim is left to start in. */
 const PRESS_SHARE = 0.5;
+/** Whatever stands before it, a job begins within this: the rule for the largest of each class. */
+export const BEGIN_MOST_S = 240;
 /** Ordinary work that presses may take this share of the shard's processors before more urgent work, or be one job. */
 const MOST_SHARE = 0.1;
+/** A start that is taken back within this is none. */
+const BEGUN_MS = 30_000;
 
 /**
- * Urgent work that comes without end would keep ordinary work from ever starting where both need the same machines. A
- * little of it, in the order of acceptance, goes with the urgent work once the last of its aims comes near: it waits no
- * more for every urgent job that comes, is not stopped for one, and stops nothing itself.
+ * Urgent work that comes without end would keep other work from ever starting where both need the same machines. A
+ * little of it, in the order of acceptance, goes with the urgent work once the last of its aims comes near, or half of the time
+ * by which any job has to have begun is over and it has not: it waits no more for every urgent job that comes, is not stopped
+ * for one, and stops nothing itself.
  */
 export class Pressing {
   private readonly lifted = new Set<Job>();
@@ -35,15 +40,9 @@
     const wall = this.world.clock.wall();
     const due: { job: Job; until: number }[] = [];
     for (const job of this.jobs.values()) {
-      if (job.priority !== PRIORITY.normal || job.suspect || job.waitsFor.size > 0) continue;
-      const aim = this.aims.last(job.spec, this.estimates.runS(job.spec));
-      if (aim === null) continue;
-      const ageS = (wall - job.acceptedWall) / 1000;
-      if (aim.latestS - ageS > aim.withinS * PRESS_SHARE) continue;
-      // Of what has missed it, nothing more is gained; what has begun may run faster than expected.
-      const begun = job.places.size > 0 || job.done.count > 0;
-      if (ageS <= (begun ? aim.withinS : aim.latestS))
-        due.push({ job, until: job.acceptedWall + aim.withinS * 1000 });
+      if (job.priority > PRIORITY.normal || job.suspect || job.waitsFor.size > 0) continue;
+      const withinS = this.pressedBy(job, (wall - job.acceptedWall) / 1000);
+      if (withinS !== null) due.push({ job, until: job.acceptedWall + withinS * 1000 });
     }
     due.sort((a, b) => a.job.order - b.job.order);
     let room = cpus * MOST_SHARE;
@@ -57,4 +56,23 @@
       this.lifted.add(job);
     }
   }
+
+  /** Within how many seconds of its acceptance something presses a job to be met; null when nothing does now. */
+  private pressedBy(job: Job, ageS: number): number | null {
+    // However many aims it has missed. The largest wait the longest for room, and nobody else asks for them.
+    if (ageS > BEGIN_MOST_S * PRESS_SHARE && !this.hasBegun(job)) return BEGIN_MOST_S;
+    const aim =
+      job.priority === PRIORITY.normal ? this.aims.last(job.spec, this.estimates.runS(job.spec)) : null;
+    if (aim === null || aim.latestS - ageS > aim.withinS * PRESS_SHARE) return null;
+    // Of what has missed it, nothing more is gained; what has begun may run faster than expected.
+    const begun = job.places.size > 0 || job.done.count > 0;
+    return ageS <= (begun ? aim.withinS : aim.latestS) ? aim.withinS : null;
+  }
+
+  private hasBegun(job: Job): boolean {
+    if (job.done.count > 0) return true;
+    const since = this.world.clock.now() - BEGUN_MS;
+    for (const h of job.places.values()) if (h.runningAt !== null && h.runningAt < since) return true;
+    return false;
+  }
 }
--- a/src/shard/progress.ts
+++ b/src/shard/progress.ts
@@ -60,7 +60,7 @@
       this.noteImageOf(job, h);
       if (h.state === 'running') {
         h.runningAt = this.hooks.ranSince(h) ?? h.runningAt;
-        this.hooks.running(h);
+        this.runs(job, h);
       }
     } else {
       this.changed(h);
@@ -88,10 +88,18 @@
     }
     this.noteImageOf(job, h);
     if (h.state === 'exited') this.exited(job, h);
-    else if (h.state === 'running') this.hooks.running(h);
+    else if (h.state === 'running') this.runs(job, h);
     this.hooks.stir();
   }
 
+  private runs(job: Job, h: Held): void {
+    this.hooks.running(h);
+    if (job.begun) return;
+    job.begun = true;
+    const waitS = Math.round((this.world.clock.wall() - job.acceptedWall) / 100) / 10;
+    this.log.info({ job: job.spec.id, class: job.spec.class, waitS }, 'job begun');
+  }
+
   private exited(job: Job, h: Held): void {
     this.leave(job, h);
     const m = h.machine;
--- a/src/shard/questions.ts
+++ b/src/shard/questions.ts
@@ -87,7 +87,14 @@
       this.table.jobs.set(spec.id, trial);
       this.waiting.add([trial]);
       this.log.info(
-        { job: spec.id, team: spec.team, tasks: spec.tasks, deadlineInS: Math.round(finish) },
+        {
+          job: spec.id,
+          class: spec.class,
+          team: spec.team,
+          tasks: spec.tasks,
+          cpus: spec.cpus,
+          deadlineInS: Math.round(finish),
+        },
         'job accepted',
       );
       this.hooks.stir();
--- a/src/shards/deputy.ts
+++ b/src/shards/deputy.ts
@@ -58,7 +58,11 @@
       if (error instanceof NotOwner) throw new Unavailable('the shard has moved');
       throw error;
     }
-    this.world.log.info({ job: spec.id, shard, team: spec.team }, 'job accepted while its owner is away');
+    const { id, team, tasks, cpus } = spec;
+    this.world.log.info(
+      { job: id, class: spec.class, shard, team, tasks, cpus },
+      'job accepted while its owner is away',
+    );
     this.unconfirmed.set(spec.id, shard);
     if (this.unconfirmed.size > KEPT) this.unconfirmed.delete(this.unconfirmed.keys().next().value!);
     this.loop(FIRST_MS);
--- a/tests/aims.test.ts
+++ b/tests/aims.test.ts
@@ -101,3 +101,46 @@
   worker.end('wk-2/0', 'done');
   assert.ok(await c.clock.until(() => worker.on('wk-4/0'), 20_000));
 });
+
+// Guards against the largest of a class that never begin: what has missed all of its aims, or has none, stood behind urgent work
+// for good, and behind what other teams are guaranteed.
+test('whatever stands before it, a large job begins within four minutes, in a shard that urgent work fills without end', async () => {
+  for (const change of [
+    { urgency: 'standard' },
+    { urgency: 'low' },
+    { urgency: 'standard', shape: 'ensemble' },
+  ]) {
+    const c = new FakeCluster(['n0']);
+    c.objectives = [{ kind: 'finished', class: 'labels', withinS: 60, share: 0.9 }];
+    c.teams = [
+      { name: 'red', cpus: 8, cpusMax: 16, gpus: 0, gpusMax: 0 },
+      { name: 'blue', cpus: 16, cpusMax: 0, gpus: 0, gpusMax: 0 },
+    ];
+    const machines = [c.addWorker('c8', 'a'), c.addWorker('c8', 'a')];
+    c.startNode('n0');
+    await c.clock.advance(5000);
+    const large = job('wk-1', { jobClass: 'labels', cpus: 8, pieces: change.shape ? 2 : 40, ...change });
+    let begunS: number | null = null;
+    const ends = new Map<string, number>();
+    for (let s = 0; s < 300 && begunS === null; s++) {
+      // Two more than fit, and each urgent task runs for 20 s.
+      if (s % 20 === 0)
+        for (let i = 0; i < 3; i++) {
+          const id = `wk-${100 + s * 3 + i}`;
+          const urgent = { owner: 'blue', urgency: 'urgent', cpus: 8, expectedS: 20, saveEveryS: 0 };
+          assert.ok(await c.submit('n0', job(id, urgent)));
+        }
+      if (s === 40) assert.ok(await c.submit('n0', large));
+      for (const w of machines)
+        for (const a of [...w.attempts]) {
+          if (a.state === 'exited') continue;
+          if (a.job === 'wk-1') begunS ??= s - 40;
+          if (!ends.has(a.task)) ends.set(a.task, s + 20);
+          if (s >= ends.get(a.task)!) w.end(a.task, 'done');
+        }
+      await c.clock.advance(1000);
+    }
+    assert.ok(begunS !== null && begunS <= 240, `${JSON.stringify(change)} begun after ${begunS} s`);
+    assert.ok(begunS > 100, 'urgent work comes first until then');
+  }
+});
