--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -11,7 +11,7 @@
   writeCommands,
   writeOrders,
 } from '../wire/workers.js';
-import { type Held, heldKey, type Machine } from './machine.js';
+import { type Held, heldKey, type Machine, type Weight, weigh } from './machine.js';
 
 /** How it became sure that a task is not on its machine. */
 export type GoneWhy =
@@ -51,7 +51,6 @@
 }
 
 type Via = 'report' | 'command';
-type Absorbed = 'late' | 'foreign' | 'untokened' | 'ok';
 
 const COMMAND_MS = 3000;
 const SHOW_MS = 2000;
@@ -390,10 +389,9 @@
     return answer.status === 200;
   }
 
-  private absorb(m: Machine, r: Report, via: Via): Absorbed {
-    if (r.session < m.minSession || r.session < m.session) return 'late';
-    if (r.session === m.session && r.seq <= m.seq) return 'late';
-    if (r.token > m.token) return 'foreign';
+  private absorb(m: Machine, r: Report, via: Via): Weight {
+    const weight = weigh(m, r);
+    if (weight === 'late' || weight === 'foreign') return weight;
     const now = this.clock.now();
     const fresh = r.session > m.session;
     // The lease of a session counts from its beginning, which is known only to lie before this report. A session that shows
@@ -424,7 +422,7 @@
       if (m.noticeUntil === null) this.hooks.stir();
       m.noticeUntil = m.noticeUntil === null ? until : Math.min(m.noticeUntil, until);
     }
-    if (r.token < m.token) return 'untokened';
+    if (weight === 'untokened') return weight;
     m.unheard = 0;
     if (!m.synced) {
       m.synced = true;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -63,6 +63,23 @@
   closedUntil: number;
 }
 
+/** What a report counts for: `late` and `foreign` say nothing, `untokened` only that the machine is there. */
+export type Weight = 'late' | 'foreign' | 'untokened' | 'ok';
+
+/**
+ * What a report counts for beside what is known of its machine. Copies may come at any later time: only one that is newer than
+ * all that is known, and shows the present token, tells what the machine holds now.
+ */
+export function weigh(
+  known: Pick<Machine, 'session' | 'seq' | 'minSession' | 'token'>,
+  r: { session: number; seq: number; token: number },
+): Weight {
+  if (r.session < known.minSession || r.session < known.session) return 'late';
+  if (r.session === known.session && r.seq <= known.seq) return 'late';
+  if (r.token > known.token) return 'foreign';
+  return r.token < known.token ? 'untokened' : 'ok';
+}
+
 export function heldKey(job: string, index: number, attempt: number): string {
   return `${job}/${index}#${attempt}`;
 }
