--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -81,6 +81,8 @@
   readonly deaf = new Set<Worker>();
   /** When a deaf worker gives up waiting and reports to the next node. */
   private readonly deafUntil = new Map<Worker, number>();
+  /** Nodes that reach no other controller, and are reached by none. */
+  parted: ReadonlySet<string> = new Set();
   /** Nodes that no worker reaches, while all else does. */
   readonly cutFromWorkers = new Set<string>();
   capacity = false;
@@ -251,6 +253,7 @@
         const target = this.nodes.get(to);
         this.sent.push({ from, to, op });
         if (!target || target.cut || running.cut || target.still.value) throw new Error('not connected');
+        if (this.parted.has(to) || this.parted.has(from)) throw new Error('not connected');
         if (this.refused.has(to)) throw new Error('refused');
         if (this.lostMessages.has(op)) throw new Error('no answer');
         // A node that is killed meanwhile never answers.
@@ -266,11 +269,13 @@
         const target = this.nodes.get(to);
         if (!target || target.cut || running.cut || running.stopped.value || target.still.value) return;
         if (this.lostMessages.has(op) || this.refused.has(to)) return;
+        if (this.parted.has(to) || this.parted.has(from)) return;
         void target.node.serve(op, JSON.parse(JSON.stringify(args)), from).catch(() => from);
       },
       refused: (to) => !this.nodes.has(to) || this.refused.has(to),
       connected: (to) => {
         const target = this.nodes.get(to);
+        if (this.parted.has(to) || this.parted.has(from)) return false;
         return target !== undefined && !target.cut && !running.cut && !this.refused.has(to);
       },
     };
