--- a/src/plan/model.ts
+++ b/src/plan/model.ts
@@ -24,6 +24,8 @@
   until: number;
   /** No new work starts here for now, but what it holds is booked. */
   closed: boolean;
+  /** The work at hand does not need it: it should run empty. */
+  surplus: boolean;
   fetchGbPerS: number;
   images: ReadonlySet<number>;
   held: HeldBooking[];
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -36,7 +36,7 @@
 
   constructor(
     private readonly now: number,
-    private readonly machines: readonly PlanMachine[],
+    readonly machines: readonly PlanMachine[],
     teamCaps: readonly TeamCap[],
   ) {
     teamCaps.forEach((cap, team) => {
@@ -280,7 +280,7 @@
       (a, b) =>
         this.waste(job, a) - this.waste(job, b) ||
         this.fetchS(job, a) - this.fetchS(job, b) ||
-        this.profiles[b]!.load - this.profiles[a]!.load ||
+        this.loadedMore(a, b) ||
         this.liked(job, b) - this.liked(job, a),
     );
   }
@@ -412,8 +412,8 @@
     const fetchA = this.starts[a]! > this.now ? 0 : this.fetchS(job, a);
     const fetchB = this.starts[b]! > this.now ? 0 : this.fetchS(job, b);
     if (fetchA !== fetchB) return fetchA < fetchB;
-    const load = this.profiles[a]!.load - this.profiles[b]!.load;
-    if (load !== 0) return load > 0;
+    const load = this.loadedMore(a, b);
+    if (load !== 0) return load < 0;
     const liked = this.liked(job, a) - this.liked(job, b);
     return liked > 0 || (liked === 0 && this.starts[a]! < this.starts[b]!);
   }
@@ -451,6 +451,14 @@
     return job.need.gpus === 0 && this.machines[m]!.size.gpus > 0 ? 1 : 0;
   }
 
+  /** Which of two machines is the more loaded; one that is to run empty comes after all others. */
+  private loadedMore(a: number, b: number): number {
+    return (
+      Number(this.machines[a]!.surplus) - Number(this.machines[b]!.surplus) ||
+      this.profiles[b]!.load - this.profiles[a]!.load
+    );
+  }
+
   private bookGang(job: PlanJob): number | null {
     const n = job.tasks.length;
     if (n === 0) return this.from(job);
@@ -539,7 +547,7 @@
       (a, b) =>
         a.fetch - b.fetch ||
         this.waste(job, a.m) - this.waste(job, b.m) ||
-        this.profiles[b.m]!.load - this.profiles[a.m]!.load ||
+        this.loadedMore(a.m, b.m) ||
         this.liked(job, b.m) - this.liked(job, a.m),
     );
     const perZone = new Map<number, number>();
--- a/src/shard/outlook.ts
+++ b/src/shard/outlook.ts
@@ -14,6 +14,8 @@
   useOf(h: Held): { team: number; need: Amounts } | null;
   /** Whether a machine is on its way to another shard or back to the cloud. */
   withheld(id: string): boolean;
+  /** Whether the work at hand does not need a machine. */
+  surplus(id: string): boolean;
   rentals(): Iterable<PendingRental>;
   /** What machines that have not reported to this owner may hold. */
   unseen(): Amounts;
@@ -68,6 +70,7 @@
           m.noticeUntil !== null ||
           m.closedUntil > now ||
           (booting && age > bootMs * 2.5),
+        surplus: this.hooks.surplus(m.id),
         fetchGbPerS: type.fetchGbPerS,
         images: new Set(m.images.keys()),
         held,
@@ -93,6 +96,7 @@
       readyAt,
       until: Number.POSITIVE_INFINITY,
       closed: false,
+      surplus: false,
       fetchGbPerS: this.world.catalog.get(o.type)?.fetchGbPerS ?? 1,
       images: new Set(),
       held: [],
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -29,6 +29,7 @@
 import { Progress } from './progress.js';
 import { Questions } from './questions.js';
 import { Starts } from './starts.js';
+import { Surplus } from './surplus.js';
 import { JobTable } from './table.js';
 import { Telling } from './telling.js';
 import { Unseen } from './unseen.js';
@@ -49,6 +50,7 @@
   private readonly planner: Planner;
   private readonly demand: Demand;
   private readonly supply: Supply;
+  private readonly surplus: Surplus;
   private readonly preemption: Preemption;
   private readonly starts: Starts;
   private readonly blame: Blame;
@@ -167,12 +169,17 @@
       lostOwnership: () => this.lostOwnership(),
       uniqueName: (kind) => this.table.uniqueName(kind),
       needOf: (jobClass) => this.table.needs.get(jobClass) ?? null,
+      surplus: (m) => this.surplus.has(m.id),
       sawNothing: () => this.table.needs.size === 0,
       stir: () => this.stir(),
     });
+    this.surplus = new Surplus(world, this.fleet.machines, {
+      needOf: (h) => this.table.useOf(h)?.need ?? null,
+    });
     this.outlook = new Outlook(world, this.fleet, this.estimates, {
       useOf: (h) => this.table.useOf(h),
       withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
+      surplus: (id) => this.surplus.has(id),
       rentals: () => this.supply.rentals,
       unseen: () => this.unseen.amounts(),
       heldBack: (job, now) => this.unseen.heldBack(job, now),
@@ -194,6 +201,7 @@
       this.starts,
       this.preemption,
       this.demand,
+      this.surplus,
     );
     this.questions = new Questions(
       world,
--- a/tests/condor/matching.ts
+++ b/tests/condor/matching.ts
@@ -36,6 +36,7 @@
     readyAt: 0,
     until: Number.POSITIVE_INFINITY,
     closed: false,
+    surplus: false,
     fetchGbPerS: 1,
     images: new Set([i % 7]),
     held: [{ team: 0, end: 60, need: { cpus: 1 + (i % 5), gpus: 0, memoryGb: 2 } }],
--- a/tests/size.test.ts
+++ b/tests/size.test.ts
@@ -19,6 +19,7 @@
     readyAt: 0,
     until: Number.POSITIVE_INFINITY,
     closed: false,
+    surplus: false,
     fetchGbPerS: 1,
     images: new Set([i % 5]),
     held: [0, 1].map((k) => ({
--- a/tests/support/plan.ts
+++ b/tests/support/plan.ts
@@ -12,6 +12,7 @@
     readyAt: 0,
     until: Number.POSITIVE_INFINITY,
     closed: false,
+    surplus: false,
     fetchGbPerS: 1,
     images: new Set([0]),
     held: [],
