Work with deadlines goes rather to machines that stay, other arrays to spot ones

Cause: three of ten spot machines that are taken go silently, four an hour each: known only a lease of 26 s later, too late for deadlines of 30 to 90 s. Change: between machines that are in time, a job with a deadline of its user's prefers ordinary ones; while there is such work, other arrays that may run on spot machines prefer these. Without deadlines nothing changes.

--- a/src/plan/model.ts
+++ b/src/plan/model.ts
@@ -49,6 +49,8 @@
   oneZone: boolean;
   spread: boolean;
   spot: boolean;
+  /** Whether it goes rather to spot machines (true) or to others (false), where both may take it; null: it is all the same. */
+  likesSpot: boolean | null;
   image: number;
   imageGb: number;
   runS: number;
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -279,6 +279,7 @@
     return open.sort(
       (a, b) =>
         this.waste(job, a) - this.waste(job, b) ||
+        this.risk(job, a) - this.risk(job, b) ||
         this.fetchS(job, a) - this.fetchS(job, b) ||
         this.loadedMore(a, b) ||
         this.liked(job, b) - this.liked(job, a),
@@ -408,6 +409,8 @@
     if (lateA) return endA < endB || (endA === endB && this.starts[a]! < this.starts[b]!);
     const waste = this.waste(job, a) - this.waste(job, b);
     if (waste !== 0) return waste < 0;
+    const risk = this.risk(job, a) - this.risk(job, b);
+    if (risk !== 0) return risk < 0;
     // An image matters only to a task that starts now; what is booked for later may well find it fetched.
     const fetchA = this.starts[a]! > this.now ? 0 : this.fetchS(job, a);
     const fetchB = this.starts[b]! > this.now ? 0 : this.fetchS(job, b);
@@ -451,6 +454,11 @@
     return job.need.gpus === 0 && this.machines[m]!.size.gpus > 0 ? 1 : 0;
   }
 
+  /** A spot machine may be gone at any moment, which costs most what has a deadline. */
+  private risk(job: PlanJob, m: number): number {
+    return job.likesSpot === null || this.machines[m]!.spot === job.likesSpot ? 0 : 1;
+  }
+
   /** Which of two machines is the more loaded; one that is to run empty comes after all others. */
   private loadedMore(a: number, b: number): number {
     return (
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -179,6 +179,7 @@
     this.outlook = new Outlook(world, this.fleet, this.estimates, {
       useOf: (h) => this.table.useOf(h),
       withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
+      deadlines: () => this.table.deadlines,
       surplus: (id) => this.surplus.has(id),
       rentals: () => this.supply.rentals,
       unseen: () => this.unseen.amounts(),
@@ -501,13 +502,16 @@
       team.placed += job.places.size;
       team.open += openCount(job);
     }
-    const machines = { all: 0, booting: 0, empty: 0, unsure: 0 };
+    const machines = { all: 0, booting: 0, empty: 0, unsure: 0, surplus: 0, used: 0 };
     for (const m of this.fleet.machines.values()) {
       machines.all++;
+      if (this.surplus.has(m.id)) machines.surplus++;
+      machines.used += this.surplus.shareOf(m);
       if (m.heardAt === null) machines.booting++;
       else if (!m.synced || m.lost || m.unknown) machines.unsure++;
       else if (m.held.size === 0) machines.empty++;
     }
+    machines.used = Math.round(machines.used);
     this.log.info({ teams, machines }, 'load');
   }
 
--- a/src/shard/surplus.ts
+++ b/src/shard/surplus.ts
@@ -34,6 +34,19 @@
     return this.ids.has(id);
   }
 
+  /** The share of a machine that is in use. */
+  shareOf(m: Machine): number {
+    const used = { cpus: 0, gpus: 0, memoryGb: 0 };
+    for (const h of m.held.values()) {
+      const need = h.state === 'exited' ? null : this.hooks.needOf(h);
+      if (!need) continue;
+      used.cpus += need.cpus;
+      used.gpus += need.gpus;
+      used.memoryGb += need.memoryGb;
+    }
+    return usedShare(this.world.catalog.size(m.type), used);
+  }
+
   /** Looks anew; `waiting` is what waits for a place, in machines of each type. */
   assess(now: number, waiting: ReadonlyMap<number, number>): void {
     const shares = new Map<Machine, number>();
@@ -46,16 +59,7 @@
         types.set(m.type, of);
       }
       of.machines.push(m);
-      const size = this.world.catalog.size(m.type);
-      const used = { cpus: 0, gpus: 0, memoryGb: 0 };
-      for (const h of m.held.values()) {
-        const need = h.state === 'exited' ? null : this.hooks.needOf(h);
-        if (!need) continue;
-        used.cpus += need.cpus;
-        used.gpus += need.gpus;
-        used.memoryGb += need.memoryGb;
-      }
-      const share = usedShare(size, used);
+      const share = this.shareOf(m);
       shares.set(m, share);
       of.need += share;
     }
--- a/src/shard/table.ts
+++ b/src/shard/table.ts
@@ -22,6 +22,11 @@
   private readonly mutexes = new Map<string, Mutex>();
   /** What a task of each class takes, as last seen. */
   readonly needs = new Map<string, Amounts>();
+  /** Whether there are unfinished jobs with a deadline of their user's. */
+  get deadlines(): boolean {
+    for (const job of this.jobs.values()) if (job.spec.deadlineS !== null) return true;
+    return false;
+  }
   private order = 0;
 
   constructor(
--- a/tests/condor/matching.ts
+++ b/tests/condor/matching.ts
@@ -103,6 +103,7 @@
         oneZone: false,
         spread: false,
         spot: true,
+        likesSpot: null,
         image: i % 7,
         imageGb: 1,
         runS: 60,
--- a/tests/size.test.ts
+++ b/tests/size.test.ts
@@ -42,6 +42,7 @@
     oneZone: kind === 'gang',
     spread: false,
     spot: true,
+    likesSpot: null,
     image: id % 5,
     imageGb: 3,
     runS: 60,
--- a/tests/support/plan.ts
+++ b/tests/support/plan.ts
@@ -32,6 +32,7 @@
     oneZone: false,
     spread: false,
     spot: true,
+    likesSpot: null,
     image: 0,
     imageGb: 2,
     runS: 60,
