A booked task starts early elsewhere only where it also ends no later

Cause: an image of 4 GB takes 20 s to fetch at 0.2 GB a second; a task of 40 s that could wait 5 s for a machine with its image was pulled forward to one without, and took its place for 60 s.

--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -294,7 +294,8 @@
       if (zone !== null && this.machines[m]!.zone !== zone) continue;
       const span = this.spanOn(b.job, m);
       const end = this.now + span;
-      if (end > b.job.deadline && end > b.end) continue;
+      // Where the image has to be fetched first it may well end later than where it is booked.
+      if (end > b.end) continue;
       this.looks++;
       if (this.profiles[m]!.room(this.now, span, b.job.need, 1) === 0) {
         open.splice(i--, 1);
