Machines with the image come first for later starts too

Cause: only a start at once preferred a machine with the image; what was booked for later went anywhere, and 14 images of labels spread over all machines, each fetched anew. Change: the fetch counts for later starts as well.

--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -412,10 +412,8 @@
     if (waste !== 0) return waste < 0;
     const risk = this.risk(job, a) - this.risk(job, b);
     if (risk !== 0) return risk < 0;
-    // An image matters only to a task that starts now; what is booked for later may well find it fetched.
-    const fetchA = this.starts[a]! > this.now ? 0 : this.fetchS(job, a);
-    const fetchB = this.starts[b]! > this.now ? 0 : this.fetchS(job, b);
-    if (fetchA !== fetchB) return fetchA < fetchB;
+    const fetch = this.fetchS(job, a) - this.fetchS(job, b);
+    if (fetch !== 0) return fetch < 0;
     const load = this.loadedMore(a, b);
     if (load !== 0) return load < 0;
     const liked = this.liked(job, a) - this.liked(job, b);
