--- a/tests/deaf.test.ts
+++ b/tests/deaf.test.ts
@@ -6,9 +6,7 @@
 import { FakeCluster, job, LEASE_S } from './support/cluster.js';
 
 const NODES = ['n0', 'n1', 'n2'];
-const owner = (c: FakeCluster, k: number) =>
-  (c.state.value(`c/own/${k}`) as { node: string } | undefined)?.node;
-const owners = (c: FakeCluster) => [0, 1, 2].map((k) => owner(c, k));
+const owners = (c: FakeCluster) => [0, 1, 2].map((k) => c.owner(k));
 const shardOf = (c: FakeCluster, m: Worker) => (c.state.value(`c/m/${m.id}`) as { shard: number }).shard;
 
 /** A cluster whose machines all belong to the shard of the only team, and a job that runs on each of the first. */
@@ -54,9 +52,9 @@
     c.deaf.add(m);
     await c.clock.advance(1000);
     const k = shardOf(c, m);
-    const old = owner(c, k)!;
+    const old = c.owner(k)!;
     c.killNode(old);
-    assert.ok(await c.clock.until(() => owner(c, k) !== undefined && owner(c, k) !== old, 15_000));
+    assert.ok(await c.clock.until(() => c.owner(k) !== undefined && c.owner(k) !== old, 15_000));
     const spare = c.addWorker('c8', 'a');
     assert.ok(
       await c.clock.until(() => spare.on(task), (2 * LEASE_S + 25) * 1000),
--- a/tests/returns.test.ts
+++ b/tests/returns.test.ts
@@ -13,32 +13,24 @@
   for (const n of NODES) c.startNode(n);
   await c.clock.advance(8000);
   assert.ok(await c.submit('n1', job('wk-1', { pieces: tasks, cpus: 8, expectedS: 300 })));
-  assert.ok(await c.clock.until(() => running(c) === tasks, 20_000));
+  assert.ok(await c.clock.until(() => c.attempts === tasks, 20_000));
   await c.clock.advance(3000);
   return c;
 }
 
-const running = (c: FakeCluster) => c.workers.reduce((n, w) => n + w.attempts.length, 0);
-const starts = (c: FakeCluster) => c.workers.reduce((n, w) => n + w.started.length, 0);
-const owner = (c: FakeCluster, k: number) =>
-  (c.state.value(`c/own/${k}`) as { node: string } | undefined)?.node;
-const shardOf = (c: FakeCluster, id: string) => (c.state.value(`act/${id}`) as { shard: number }).shard;
 const sessions = (c: FakeCluster) => new Set(c.workers.map((w) => w.session));
 
 // Guards against an owner that goes on deciding, or holds its machines, when all that it still reaches are the workers.
 test('an owner that keeps only its workers stops deciding, loses no machine, and takes nothing up twice when it is back', async () => {
   const c = await busy();
-  const k = shardOf(c, 'wk-1');
-  const old = owner(c, k)!;
+  const k = c.shardOf('wk-1');
+  const old = c.owner(k)!;
   const cut = (on: boolean) => {
     c.net.fate = (from, addr) => (on && from === old && addr.startsWith(STATE) ? 'silent' : 'deliver');
     c.parted = on ? new Set([old]) : new Set();
   };
   cut(true);
-  assert.ok(
-    await c.clock.until(() => owner(c, k) !== undefined && owner(c, k) !== old, 15_000),
-    'taken over',
-  );
+  assert.ok(await c.clock.until(() => c.owner(k) !== undefined && c.owner(k) !== old, 15_000), 'taken over');
   // From the take-over on it answers no report with 200: the machines find the new owner.
   const orders: string[] = [];
   const fate = c.net.fate;
@@ -54,8 +46,8 @@
   cut(false);
   await c.clock.advance(40_000);
   assert.deepEqual(sessions(c), new Set([1]));
-  assert.equal(starts(c), 7, 'nothing was started twice');
-  assert.equal(running(c), 7);
+  assert.equal(c.starts, 7, 'nothing was started twice');
+  assert.equal(c.attempts, 7);
 });
 
 // Guards against an old and a new run of one name that mix: back before anybody has noticed, in the middle of a claim, a naming, a
@@ -66,7 +58,7 @@
   let next = 2;
   const moments: [string, () => boolean][] = [
     ['at rest', () => true],
-    ['a claim', () => [0, 1, 2].some((k) => owner(c, k) === undefined)],
+    ['a claim', () => [0, 1, 2].some((k) => c.owner(k) === undefined)],
     ['a naming', () => [0, 1, 2].some((k) => c.state.value(`c/stand/${k}`) === undefined)],
     ['an election', () => c.state.value('c/lead') === undefined],
     ['a switch', () => c.sent.at(-1)?.op === 'assume'],
@@ -98,25 +90,25 @@
       );
     }
   await c.clock.advance(30_000);
-  assert.deepEqual(new Set([0, 1, 2].map((k) => owner(c, k))), new Set(NODES), 'one shard each again');
+  assert.deepEqual(new Set([0, 1, 2].map((k) => c.owner(k))), new Set(NODES), 'one shard each again');
   assert.deepEqual(sessions(c), new Set([1]), 'no machine has lost its lease');
   for (const id of told) {
     const reply = await c.call('n0', 'GET', `/api/jobs/${id}`);
     assert.equal((reply.body as { status: string }).status, 'running', id);
   }
-  assert.equal(starts(c), 6 + told.size, 'nothing was started twice');
+  assert.equal(c.starts, 6 + told.size, 'nothing was started twice');
 });
 
 // Guards against accepted jobs that nobody answers for: within 75 s of the end of all troubles each is known, by whichever way.
 test('after all troubles every accepted job is known: deputies that died, owners that never heard, records in pieces', async () => {
   const c = await busy(2);
-  const k = shardOf(c, 'wk-1');
+  const k = c.shardOf('wk-1');
   const ids: string[] = [];
   const submit = async (node: string, id: string, change: object = {}) => {
     if (await c.submit(node, job(id, { cpus: 1, expectedS: 20, ...change }))) ids.push(id);
   };
   // An owner that stands still: deputies accept for it, and die before anybody has confirmed.
-  const old = owner(c, k)!;
+  const old = c.owner(k)!;
   const wake = c.freeze(old);
   const deputy = NODES.find((n) => n !== old)!;
   c.lostMessages.add('status');
@@ -128,7 +120,7 @@
   c.startNode(deputy);
   // The owner leaves in the middle of a switch, and its successor ends with it.
   c.lostAnswers.add('assume');
-  void c.nodes.get(owner(c, k) ?? old)?.node.leave();
+  void c.nodes.get(c.owner(k) ?? old)?.node.leave();
   await c.clock.advance(50);
   for (const n of NODES) c.killNode(n);
   c.lostAnswers.clear();
--- a/tests/standby.test.ts
+++ b/tests/standby.test.ts
@@ -12,24 +12,18 @@
   for (const n of nodes) c.startNode(n);
   await c.clock.advance(8000);
   assert.ok(await c.submit('n1', job('wk-1', { pieces: 4, cpus: 8 })));
-  assert.ok(await c.clock.until(() => running(c) === 4, 15_000));
+  assert.ok(await c.clock.until(() => c.attempts === 4, 15_000));
   await c.clock.advance(3000);
   return c;
 }
 
-const running = (c: FakeCluster) => c.workers.reduce((n, w) => n + w.attempts.length, 0);
-const starts = (c: FakeCluster) => c.workers.reduce((n, w) => n + w.started.length, 0);
-const owner = (c: FakeCluster, k: number) =>
-  (c.state.value(`c/own/${k}`) as { node: string } | undefined)?.node;
 const standby = (c: FakeCluster, k: number) =>
   (c.state.value(`c/stand/${k}`) as { node: string } | undefined)?.node;
-/** The shard that the jobs of the only team are in. */
-const shardOf = (c: FakeCluster, id = 'wk-1') => (c.state.value(`act/${id}`) as { shard: number }).shard;
 
 test('every shard has a standby of its own, spread over the nodes, and not the next in a roll', async () => {
   const c = await warm(6);
   assert.deepEqual(
-    [0, 1, 2].map((k) => [owner(c, k), standby(c, k)]),
+    [0, 1, 2].map((k) => [c.owner(k), standby(c, k)]),
     [
       ['n0', 'n2'],
       ['n1', 'n0'],
@@ -45,12 +39,12 @@
 
 test('a crash is taken over within the promise, warm, and nothing that runs is started again', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  const k = c.shardOf('wk-1');
+  const [old, next] = [c.owner(k)!, standby(c, k)!];
   c.killNode(old);
   const at = c.clock.now();
   const user = NODES.find((n) => n !== old)!;
-  assert.ok(await c.clock.until(() => owner(c, k) === next, 4000), 'the standby has it');
+  assert.ok(await c.clock.until(() => c.owner(k) === next, 4000), 'the standby has it');
   assert.ok(await c.submit(user, job('wk-2', { dueS: 900 })), 'a deadline needs the plan');
   const took = c.clock.now() - at;
   assert.ok(took <= 3500, `accepted after ${took} ms`);
@@ -59,19 +53,19 @@
     c.workers.every((w) => w.session === 1),
     'no machine has lost its lease',
   );
-  assert.equal(running(c), 4);
-  assert.equal(starts(c), 4, 'the team is at its limit, and what ran goes on');
+  assert.equal(c.attempts, 4);
+  assert.equal(c.starts, 4, 'the team is at its limit, and what ran goes on');
 });
 
 // Guards against two owners: what a frozen owner had checked before the freeze comes due after the take-over.
 test('an owner that stands still past the promise loses its shard, and does nothing of what it was about to do', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  const k = c.shardOf('wk-1');
+  const [old, next] = [c.owner(k)!, standby(c, k)!];
   const wake = c.freeze(old);
   await c.clock.advance(1500);
-  assert.equal(owner(c, k), old, 'a short freeze costs nothing');
-  assert.ok(await c.clock.until(() => owner(c, k) === next, 5000));
+  assert.equal(c.owner(k), old, 'a short freeze costs nothing');
+  assert.ok(await c.clock.until(() => c.owner(k) === next, 5000));
   c.workers.find((w) => w.on('wk-1/0'))!.end('wk-1/0', 'done');
   assert.ok(
     await c.clock.until(() => c.state.value('act/wk-1/0') !== undefined, 12_000),
@@ -81,7 +75,7 @@
   await c.clock.advance(500);
   assert.equal(((await c.call(old, 'GET', '/api/jobs/wk-1')).body as { done: number }).done, 1);
   await c.clock.advance(25_000);
-  assert.equal(starts(c), 4);
+  assert.equal(c.starts, 4);
   assert.ok(c.workers.every((w) => w.session === 1));
 });
 
@@ -137,21 +131,21 @@
 
 test('when owner and standby crash together, the third takes the shard by the lease', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  const k = c.shardOf('wk-1');
+  const [old, next] = [c.owner(k)!, standby(c, k)!];
   const third = NODES.find((n) => n !== old && n !== next)!;
   c.killNode(old);
   c.killNode(next);
-  assert.ok(await c.clock.until(() => owner(c, k) === third, 14_000));
+  assert.ok(await c.clock.until(() => c.owner(k) === third, 14_000));
   await c.clock.advance(LEASE_S * 1000 + 5000);
-  assert.equal(starts(c), 4);
+  assert.equal(c.starts, 4);
   assert.ok(c.workers.every((w) => w.session === 1));
 });
 
 test('a standby that crashes is struck off within the promise, and another takes its place', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const [own, first] = [owner(c, k)!, standby(c, k)!];
+  const k = c.shardOf('wk-1');
+  const [own, first] = [c.owner(k)!, standby(c, k)!];
   c.killNode(first);
   await c.clock.advance(1500);
   assert.ok(await c.submit(own, job('wk-2', { dueS: 900 })));
@@ -159,36 +153,36 @@
     await c.clock.until(() => standby(c, k) !== undefined && standby(c, k) !== first, 8000),
     'another stands by',
   );
-  assert.equal(owner(c, k), own);
+  assert.equal(c.owner(k), own);
   await c.clock.advance(4000);
   const second = standby(c, k)!;
   c.killNode(own);
-  assert.ok(await c.clock.until(() => owner(c, k) === second, 4000), 'and takes over');
+  assert.ok(await c.clock.until(() => c.owner(k) === second, 4000), 'and takes over');
   await c.clock.advance(5000);
-  assert.equal(running(c), 4);
-  assert.equal(starts(c), 4);
+  assert.equal(c.attempts, 4);
+  assert.equal(c.starts, 4);
 });
 
 test('an owner that the state service alone refuses hands over before its lease runs out', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  const k = c.shardOf('wk-1');
+  const [old, next] = [c.owner(k)!, standby(c, k)!];
   c.net.fate = (from, addr) => (from === old && addr.startsWith('10.2.0.1') ? 'refuse' : 'deliver');
-  assert.ok(await c.clock.until(() => owner(c, k) === next, 5500));
+  assert.ok(await c.clock.until(() => c.owner(k) === next, 5500));
   assert.ok(await c.submit(old, job('wk-2', { dueS: 900 })), 'also by way of the node that was cut off');
   await c.clock.advance(30_000);
-  assert.equal(owner(c, k), next, 'no way back while it is cut off');
+  assert.equal(c.owner(k), next, 'no way back while it is cut off');
   assert.ok(c.workers.every((w) => w.session === 1));
-  assert.equal(starts(c), 4);
+  assert.equal(c.starts, 4);
 });
 
 // Guards against a gap at each change of hands: between the end of one owner and the beginning of the next, users were refused.
 test('going home and leaving are switches: no request is refused and no machine is lost', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const home = owner(c, k)!;
+  const k = c.shardOf('wk-1');
+  const home = c.owner(k)!;
   c.killNode(home);
-  assert.ok(await c.clock.until(() => owner(c, k) !== home, 4000));
+  assert.ok(await c.clock.until(() => c.owner(k) !== home, 4000));
   await c.clock.advance(2000);
   c.startNode(home);
   await c.clock.advance(2000);
@@ -202,11 +196,11 @@
     );
     replies.push((await c.nodes.get(n)!.api.handle(c.request('GET', '/api/jobs/wk-1'))).status);
   };
-  for (let t = 0; t < 300 && owner(c, k) !== home; t++) {
+  for (let t = 0; t < 300 && c.owner(k) !== home; t++) {
     for (const n of NODES) void ask(n);
     await c.clock.advance(50);
   }
-  assert.equal(owner(c, k), home, 'home again');
+  assert.equal(c.owner(k), home, 'home again');
   for (let t = 0; t < 20; t++) {
     for (const n of NODES) void ask(n);
     await c.clock.advance(50);
@@ -219,7 +213,7 @@
   }
   await leaving;
   c.killNode(home);
-  assert.notEqual(owner(c, k), home);
+  assert.notEqual(c.owner(k), home);
   await c.clock.advance(5000);
   assert.ok(replies.length > 200);
   assert.deepEqual(
@@ -238,15 +232,15 @@
   for (const n of NODES) c.startNode(n);
   await c.clock.advance(8000);
   assert.ok(await c.submit('n0', job('wk-1', { pieces: 3, cpus: 8 })));
-  assert.ok(await c.clock.until(() => running(c) === 3, 20_000));
+  assert.ok(await c.clock.until(() => c.attempts === 3, 20_000));
   assert.ok(await c.submit('n0', job('wk-2', { pieces: 1, cpus: 8 })), 'waits: all places are taken');
   await c.clock.advance(2000);
-  const k = shardOf(c);
+  const k = c.shardOf('wk-1');
   const hung = all[0]!;
   c.silent.add(hung);
   c.net.fate = (_f, addr) => (addr === hung.place.addr ? 'silent' : 'deliver');
   const mine = ['wk-1/0', 'wk-1/1', 'wk-1/2'].find((p) => !hung.on(p))!;
-  c.killNode(owner(c, k)!);
+  c.killNode(c.owner(k)!);
   const at = c.clock.now();
   all.find((w) => w.on(mine))!.end(mine, 'done');
   assert.ok(await c.clock.until(() => all.some((w) => w.on('wk-2/0')), 10_000), 'not only after the lease');
@@ -257,11 +251,11 @@
 
 test('a state outage between the claim and the first read delays the take-over, and nothing is decided before', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const [old, next] = [owner(c, k)!, standby(c, k)!];
+  const k = c.shardOf('wk-1');
+  const [old, next] = [c.owner(k)!, standby(c, k)!];
   let cut = false;
   c.net.fate = (from, addr, _m, path) => {
-    if (from === next && addr.startsWith('10.2.0.1') && owner(c, k) === next) cut = true;
+    if (from === next && addr.startsWith('10.2.0.1') && c.owner(k) === next) cut = true;
     return cut && addr.startsWith('10.2.0.1') && path !== '/leases' && !path.endsWith('/touch')
       ? 'refuse'
       : 'deliver';
@@ -270,12 +264,12 @@
   assert.ok(await c.clock.until(() => cut, 5000));
   await c.clock.advance(4000);
   assert.equal((await c.call(next, 'GET', '/api/jobs/wk-1')).status, 503, 'how it stands is not known yet');
-  assert.equal(starts(c), 4);
+  assert.equal(c.starts, 4);
   cut = false;
   c.net.fate = () => 'deliver';
   assert.ok(await c.submit(next, job('wk-2', { dueS: 900 })));
   await c.clock.advance(25_000);
-  assert.equal(starts(c), 4);
+  assert.equal(c.starts, 4);
   assert.ok(c.workers.every((w) => w.session === 1));
 });
 
@@ -290,9 +284,9 @@
     }
   }
   await c.clock.advance(25_000);
-  assert.equal(starts(c), 4);
+  assert.equal(c.starts, 4);
   assert.ok(c.workers.every((w) => w.session === 1));
-  assert.deepEqual(new Set([0, 1, 2].map((k) => owner(c, k))), new Set(NODES));
+  assert.deepEqual(new Set([0, 1, 2].map((k) => c.owner(k))), new Set(NODES));
 });
 
 test('beside a version without standbys no shard of its is followed, and it takes what is left as ever', async () => {
@@ -306,15 +300,15 @@
     [undefined, 'n2', 'n1'],
   );
   assert.ok(await c.submit('n0', job('wk-1', { pieces: 4, cpus: 8 })));
-  assert.ok(await c.clock.until(() => running(c) === 4, 15_000));
+  assert.ok(await c.clock.until(() => c.attempts === 4, 15_000));
   c.killNode('n1');
   c.killNode('n2');
-  assert.ok(await c.clock.until(() => [0, 1, 2].every((k) => owner(c, k) === 'n0'), 20_000));
+  assert.ok(await c.clock.until(() => [0, 1, 2].every((k) => c.owner(k) === 'n0'), 20_000));
   c.startNode('n1');
   await c.clock.advance(20_000);
-  assert.equal(owner(c, 1), 'n1', 'handed back as ever');
+  assert.equal(c.owner(1), 'n1', 'handed back as ever');
   await c.clock.advance(10_000);
-  assert.equal(starts(c), 4);
+  assert.equal(c.starts, 4);
   assert.ok(c.workers.every((w) => w.session === 1));
 });
 
@@ -343,25 +337,25 @@
   assert.ok(asked <= 3 * 3, `${asked} requests in 20 s at rest`);
   for (let i = 0; i < 420; i++) c.addWorker('c8', 'a');
   assert.ok(await c.submit('n0', job('wk-0', { cpus: 8 })));
-  const k = shardOf(c, 'wk-0');
+  const k = c.shardOf('wk-0');
   const mine = () =>
     [...c.state.items].filter(
       ([key, i]) => key.startsWith('c/m/') && (i.value as { shard: number }).shard === k,
     );
   for (let i = 1; i <= 14; i++)
     assert.ok(await c.submit('n0', job(`wk-${i}`, { pieces: 100, cpus: 8, expectedS: 600 })));
-  assert.ok(await c.clock.until(() => running(c) > 250, 40_000), `${running(c)} run on ${mine().length}`);
+  assert.ok(await c.clock.until(() => c.attempts > 250, 40_000), `${c.attempts} run on ${mine().length}`);
   await c.clock.advance(8000);
-  const [old, next] = [owner(c, k)!, standby(c, k)!];
-  const before = running(c);
-  const began = starts(c);
+  const [old, next] = [c.owner(k)!, standby(c, k)!];
+  const before = c.attempts;
+  const began = c.starts;
   const here = mine().length;
   const late = c.state.items.get('act/wk-14')!.version;
   readFrom.length = 0;
   [greeted, machinesAsked, asked] = [0, 0, 0];
   c.killNode(old);
   const at = c.clock.now();
-  assert.ok(await c.clock.until(() => owner(c, k) === next, 4000));
+  assert.ok(await c.clock.until(() => c.owner(k) === next, 4000));
   assert.ok(await c.submit(next, job('wk-99', { cpus: 8, dueS: 9000 })));
   assert.ok(c.clock.now() - at < 3500, `${c.clock.now() - at} ms to the first answer`);
   assert.ok(
@@ -373,8 +367,8 @@
   assert.ok(greeted < here / 10, `${greeted} machines had to be asked for their session`);
   assert.ok(machinesAsked >= here, `${machinesAsked} of ${here} machines greeted`);
   await c.clock.advance(23_000);
-  assert.ok(running(c) >= before);
-  assert.ok(starts(c) - began <= 420 - before + 1, 'nothing that ran was started again');
+  assert.ok(c.attempts >= before);
+  assert.ok(c.starts - began <= 420 - before + 1, 'nothing that ran was started again');
   assert.ok(c.workers.every((w) => w.session === 1));
 });
 
@@ -382,8 +376,8 @@
 // a new session or its job be cancelled, and the task may be starting elsewhere.
 test('a start that waits for the standby is not sent when its job is cancelled or its machine has begun anew', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const own = owner(c, k)!;
+  const k = c.shardOf('wk-1');
+  const own = c.owner(k)!;
   const ordered: string[] = [];
   c.net.fate = (_f, _a, _m, path, body) => {
     if (path === '/do') ordered.push(JSON.stringify(body));
@@ -401,7 +395,7 @@
   c.lostAnswers.clear();
   await c.clock.advance(10_000);
   assert.ok(!ordered.some((o) => o.includes('"verb":"run"') && o.includes('wk-6')), 'and never sent');
-  assert.equal(starts(c), 5);
+  assert.equal(c.starts, 5);
   // The machines begin anew while a start waits.
   c.lostAnswers.add('stand');
   assert.ok(await c.submit(own, job('wk-7', { cpus: 4 })));
@@ -418,8 +412,8 @@
 
 test('a task that was done, but not stored as done, when its owner crashed is not started again elsewhere', async () => {
   const c = await warm(6);
-  const k = shardOf(c);
-  const old = owner(c, k)!;
+  const k = c.shardOf('wk-1');
+  const old = c.owner(k)!;
   const [first, second] = ['wk-1/0', 'wk-1/1'].map((p) => c.workers.find((w) => w.on(p))!);
   first!.end('wk-1/0', 'done');
   await c.clock.advance(1200);
@@ -430,11 +424,11 @@
   c.silent.add(second!);
   c.net.fate = (_f, addr) => (addr === second!.place.addr ? 'silent' : 'deliver');
   await c.clock.advance(9000);
-  assert.notEqual(owner(c, k), old);
-  assert.equal(starts(c), 4, 'the machine that has it does not answer yet');
+  assert.notEqual(c.owner(k), old);
+  assert.equal(c.starts, 4, 'the machine that has it does not answer yet');
   c.silent.delete(second!);
   c.net.fate = () => 'deliver';
   await c.clock.advance(8000);
-  assert.equal(((await c.call(owner(c, k)!, 'GET', '/api/jobs/wk-1')).body as { done: number }).done, 2);
-  assert.equal(starts(c), 4);
+  assert.equal(((await c.call(c.owner(k)!, 'GET', '/api/jobs/wk-1')).body as { done: number }).done, 2);
+  assert.equal(c.starts, 4);
 });
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -206,6 +206,25 @@
     };
   }
 
+  /** The node that a shard's key names. */
+  owner(shard: number): string | undefined {
+    return (this.state.value(`c/own/${shard}`) as { node: string } | undefined)?.node;
+  }
+
+  /** The shard that an unfinished job is in. */
+  shardOf(job: string): number {
+    return (this.state.value(`act/${job}`) as { shard: number }).shard;
+  }
+
+  /** Attempts on all workers, and starts that they have executed so far. */
+  get attempts(): number {
+    return this.workers.reduce((n, w) => n + w.attempts.length, 0);
+  }
+
+  get starts(): number {
+    return this.workers.reduce((n, w) => n + w.started.length, 0);
+  }
+
   killNode(name: string): void {
     const running = this.nodes.get(name);
     if (running) running.stopped.value = true;
