--- a/src/emulator/local.ts
+++ b/src/emulator/local.ts
@@ -196,7 +196,7 @@
     writeFileSync(file, settingsOf(this.options.platform, c, this.controllers));
     const log = openSync(join(data, `${c.node}.log`), 'a');
     // With its standard input gone a controller ends, also when this process is killed.
-    const args = ['--max-old-space-size=96', '--max-semi-space-size=6', program, '--end-with-stdin'];
+    const args = ['--max-old-space-size=110', '--max-semi-space-size=2', program, '--end-with-stdin'];
     c.process = spawn(
       process.execPath,
       [...args, '--clock-speed', String(speed), ...flags, '--config', file],
--- a/src/plan/model.ts
+++ b/src/plan/model.ts
@@ -24,8 +24,6 @@
   until: number;
   /** No new work starts here for now, but what it holds is booked. */
   closed: boolean;
-  /** The work at hand does not need it: it should run empty. */
-  surplus: boolean;
   fetchGbPerS: number;
   images: ReadonlySet<number>;
   held: HeldBooking[];
@@ -49,8 +47,6 @@
   oneZone: boolean;
   spread: boolean;
   spot: boolean;
-  /** Whether it goes rather to spot machines (true) or to others (false), where both may take it; null: it is all the same. */
-  likesSpot: boolean | null;
   image: number;
   imageGb: number;
   runS: number;
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -36,7 +36,7 @@
 
   constructor(
     private readonly now: number,
-    readonly machines: readonly PlanMachine[],
+    private readonly machines: readonly PlanMachine[],
     teamCaps: readonly TeamCap[],
   ) {
     teamCaps.forEach((cap, team) => {
@@ -279,9 +279,8 @@
     return open.sort(
       (a, b) =>
         this.waste(job, a) - this.waste(job, b) ||
-        this.risk(job, a) - this.risk(job, b) ||
         this.fetchS(job, a) - this.fetchS(job, b) ||
-        this.loadedMore(a, b) ||
+        this.profiles[b]!.load - this.profiles[a]!.load ||
         this.liked(job, b) - this.liked(job, a),
     );
   }
@@ -294,8 +293,7 @@
       if (zone !== null && this.machines[m]!.zone !== zone) continue;
       const span = this.spanOn(b.job, m);
       const end = this.now + span;
-      // Where the image has to be fetched first it may well end later than where it is booked.
-      if (end > b.end) continue;
+      if (end > b.job.deadline && end > b.end) continue;
       this.looks++;
       if (this.profiles[m]!.room(this.now, span, b.job.need, 1) === 0) {
         open.splice(i--, 1);
@@ -410,12 +408,12 @@
     if (lateA) return endA < endB || (endA === endB && this.starts[a]! < this.starts[b]!);
     const waste = this.waste(job, a) - this.waste(job, b);
     if (waste !== 0) return waste < 0;
-    const risk = this.risk(job, a) - this.risk(job, b);
-    if (risk !== 0) return risk < 0;
-    const fetch = this.fetchS(job, a) - this.fetchS(job, b);
-    if (fetch !== 0) return fetch < 0;
-    const load = this.loadedMore(a, b);
-    if (load !== 0) return load < 0;
+    // An image matters only to a task that starts now; what is booked for later may well find it fetched.
+    const fetchA = this.starts[a]! > this.now ? 0 : this.fetchS(job, a);
+    const fetchB = this.starts[b]! > this.now ? 0 : this.fetchS(job, b);
+    if (fetchA !== fetchB) return fetchA < fetchB;
+    const load = this.profiles[a]!.load - this.profiles[b]!.load;
+    if (load !== 0) return load > 0;
     const liked = this.liked(job, a) - this.liked(job, b);
     return liked > 0 || (liked === 0 && this.starts[a]! < this.starts[b]!);
   }
@@ -453,19 +451,6 @@
     return job.need.gpus === 0 && this.machines[m]!.size.gpus > 0 ? 1 : 0;
   }
 
-  /** A spot machine may be gone at any moment, which costs most what has a deadline. */
-  private risk(job: PlanJob, m: number): number {
-    return job.likesSpot === null || this.machines[m]!.spot === job.likesSpot ? 0 : 1;
-  }
-
-  /** Which of two machines is the more loaded; one that is to run empty comes after all others. */
-  private loadedMore(a: number, b: number): number {
-    return (
-      Number(this.machines[a]!.surplus) - Number(this.machines[b]!.surplus) ||
-      this.profiles[b]!.load - this.profiles[a]!.load
-    );
-  }
-
   private bookGang(job: PlanJob): number | null {
     const n = job.tasks.length;
     if (n === 0) return this.from(job);
@@ -554,7 +539,7 @@
       (a, b) =>
         a.fetch - b.fetch ||
         this.waste(job, a.m) - this.waste(job, b.m) ||
-        this.loadedMore(a.m, b.m) ||
+        this.profiles[b.m]!.load - this.profiles[a.m]!.load ||
         this.liked(job, b.m) - this.liked(job, a.m),
     );
     const perZone = new Map<number, number>();
--- a/src/plan/profile.ts
+++ b/src/plan/profile.ts
@@ -96,7 +96,10 @@
   private weight(start: number, end: number, need: Amounts): number {
     const left = Math.min(end, this.now + LOAD_HORIZON_S) - Math.max(start, this.now);
     if (left <= 0) return 0;
-    return left * usedShare(this.cap, need);
+    let share = this.cap.cpus > 0 ? need.cpus / this.cap.cpus : 0;
+    if (this.cap.gpus > 0) share = Math.max(share, need.gpus / this.cap.gpus);
+    if (this.cap.memoryGb > 0) share = Math.max(share, need.memoryGb / this.cap.memoryGb);
+    return left * share;
   }
 
   private change(start: number, end: number, need: Amounts, sign: number): void {
@@ -156,14 +159,6 @@
   list[at] = value;
 }
 
-/** The share of a machine that something takes, of what it takes most of. */
-export function usedShare(size: Amounts, use: Amounts): number {
-  let share = size.cpus > 0 ? use.cpus / size.cpus : 0;
-  if (size.gpus > 0) share = Math.max(share, use.gpus / size.gpus);
-  if (size.memoryGb > 0) share = Math.max(share, use.memoryGb / size.memoryGb);
-  return share;
-}
-
 /** How many times `need` fits into `free`, up to `most`. */
 export function fitCount(free: Amounts, need: Amounts, most: number): number {
   let count = most;
--- a/src/shard/demand.ts
+++ b/src/shard/demand.ts
@@ -18,7 +18,7 @@
 const SPARES_TOLD = 24;
 
 export interface DemandHooks {
-  teamUsage(now: number): Map<number, Amounts>;
+  teamUsage(): Map<number, Amounts>;
   /** Whether a task of a job that is not known to be anywhere is surely nowhere. */
   nowhereElse(job: Job): boolean;
   /** Whether a job is within what its team is guaranteed. */
@@ -95,7 +95,7 @@
         w.late -= w.lateOnes.length - short[i]!;
       });
     }
-    const usage = this.hooks.teamUsage(now);
+    const usage = this.hooks.teamUsage();
     const needs: Gossip['needs'] = [];
     const short: Shortage[] = [];
     for (const id of [...this.shortSince.keys()]) {
--- a/src/shard/estimates.ts
+++ b/src/shard/estimates.ts
@@ -6,8 +6,6 @@
 /** How long tasks run: the owners' estimates, and what their classes have shown. */
 export class Estimates {
   private readonly ratios = new Map<string, { log: number; count: number }>();
-  /** Of each class, by how much its tasks run longer than estimated; asked for each task in each plan. */
-  private readonly factors = new Map<string, number>();
 
   constructor(
     private readonly world: World,
@@ -21,7 +19,6 @@
     r.count = Math.min(30, r.count + 1);
     r.log += (Math.log(Math.min(4, Math.max(0.25, ranS / job.spec.estimateS))) - r.log) / (r.count + 2);
     this.ratios.set(job.spec.class, r);
-    this.factors.set(job.spec.class, Math.exp(r.log));
   }
 
   /** What the classes have shown, for who takes over. */
@@ -35,14 +32,11 @@
 
   /** Takes over what the former owner has learnt. */
   inherit(classes: Iterable<[string, { log: number; count: number }]>): void {
-    for (const [name, { log, count }] of classes) {
-      this.ratios.set(name, { log, count });
-      this.factors.set(name, Math.exp(log));
-    }
+    for (const [name, { log, count }] of classes) this.ratios.set(name, { log, count });
   }
 
   runS(spec: JobSpec): number {
-    return spec.estimateS * (this.factors.get(spec.class) ?? 1);
+    return spec.estimateS * Math.exp(this.ratios.get(spec.class)?.log ?? 0);
   }
 
   /** When a task on a machine is expected to end; one that outruns its estimate is given some more each time. */
--- a/src/shard/outlook.ts
+++ b/src/shard/outlook.ts
@@ -14,10 +14,6 @@
   useOf(h: Held): { team: number; need: Amounts } | null;
   /** Whether a machine is on its way to another shard or back to the cloud. */
   withheld(id: string): boolean;
-  /** Whether there is work with deadlines of its users'. */
-  deadlines(): boolean;
-  /** Whether the work at hand does not need a machine. */
-  surplus(id: string): boolean;
   rentals(): Iterable<PendingRental>;
   /** What machines that have not reported to this owner may hold. */
   unseen(): Amounts;
@@ -27,8 +23,6 @@
 
 /** A shard's machines and jobs as the plan sees them. */
 export class Outlook {
-  private deadlines = { at: Number.NaN, some: false };
-
   constructor(
     private readonly world: World,
     private readonly fleet: Fleet,
@@ -74,7 +68,6 @@
           m.noticeUntil !== null ||
           m.closedUntil > now ||
           (booting && age > bootMs * 2.5),
-        surplus: this.hooks.surplus(m.id),
         fetchGbPerS: type.fetchGbPerS,
         images: new Set(m.images.keys()),
         held,
@@ -100,7 +93,6 @@
       readyAt,
       until: Number.POSITIVE_INFINITY,
       closed: false,
-      surplus: false,
       fetchGbPerS: this.world.catalog.get(o.type)?.fetchGbPerS ?? 1,
       images: new Set(),
       held: [],
@@ -132,7 +124,6 @@
       oneZone: job.spec.oneZone,
       spread: job.spec.spread,
       spot: job.spec.spot,
-      likesSpot: this.likesSpot(job, now),
       image: job.image,
       imageGb: job.spec.imageGb,
       runS: this.estimates.runS(job.spec),
@@ -144,16 +135,6 @@
     };
   }
 
-  /**
-   * What has a deadline of its user's goes rather to machines that stay, and other arrays leave these to it while there is such
-   * work: a machine that is taken silently is known to be gone only a lease later, too late for most deadlines.
-   */
-  private likesSpot(job: Job, now: number): boolean | null {
-    if (!job.spec.spot || job.spec.kind !== 'array') return null;
-    if (this.deadlines.at !== now) this.deadlines = { at: now, some: this.hooks.deadlines() };
-    return this.deadlines.some ? job.spec.deadlineS === null : null;
-  }
-
   plan(now: number, machines: PlanMachine[]): Plan {
     const plan = new Plan(
       now / 1000,
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -1,7 +1,7 @@
-import { type Job, kindAllowed, openCount, withinGuarantee } from '../jobs/job.js';
+import { type Job, kindAllowed, withinGuarantee } from '../jobs/job.js';
 import type { PlanJob } from '../plan/model.js';
 import type { Plan } from '../plan/plan.js';
-import { type Amounts, fitCount, usedShare } from '../plan/profile.js';
+import { type Amounts, fitCount } from '../plan/profile.js';
 import type { Supply } from '../supply/supply.js';
 import { PRIORITY } from '../wire/users.js';
 import type { Fleet } from '../workers/fleet.js';
@@ -14,7 +14,6 @@
 import type { Preemption } from './preemption.js';
 import { Pressing } from './pressing.js';
 import type { Starts } from './starts.js';
-import type { Surplus } from './surplus.js';
 import type { JobTable } from './table.js';
 import type { Waiting } from './waiting.js';
 
@@ -67,7 +66,6 @@
     private readonly starts: Starts,
     private readonly preemption: Preemption,
     private readonly demand: Demand,
-    private readonly surplus: Surplus,
   ) {
     this.aims = new Aims(world.settings.objectives);
     this.pressing = new Pressing(world, table.jobs, this.aims, estimates);
@@ -272,7 +270,6 @@
       if (m) this.booked.add(m.id);
     }
     this.starts.dispatch(plan, refs, byOrder, now);
-    this.surplus.assess(now, this.waitingOn(plan, unplaced, now));
     const waiting = new Set<Job>(unplaced.map((u) => u.job));
     for (const b of plan.bookings) {
       const job = byOrder.get(b.job.id);
@@ -283,24 +280,6 @@
     this.demand.assess(plan, unplaced, byOrder, now);
   }
 
-  /** What is booked for later, in machines of each type. */
-  private waitingOn(
-    plan: Plan,
-    unplaced: readonly { job: Job; plan: PlanJob }[],
-    now: number,
-  ): Map<number, number> {
-    const waiting = new Map<number, number>();
-    const add = (type: number, need: Amounts, times: number) =>
-      waiting.set(type, (waiting.get(type) ?? 0) + times * usedShare(this.world.catalog.size(type), need));
-    for (const b of plan.bookings)
-      if (b.start > now / 1000 + 0.01) add(plan.machines[b.machine]!.type, b.job.need, 1);
-    // What found no place could be on any type that may take it.
-    for (const { job } of unplaced)
-      for (const [type] of this.world.catalog.all())
-        if (!job.types || job.types.has(type)) add(type, job.need, openCount(job));
-    return waiting;
-  }
-
   /** How long after a plan that took so long no other is made. */
   pauseAfter(ms: number): number {
     return Math.min(PLAN_PAUSE_MOST_MS, ms * this.pauseShare);
--- a/src/shard/preemption.ts
+++ b/src/shard/preemption.ts
@@ -24,7 +24,7 @@
   ready(): boolean;
   /** Whether a task of a job that is not known to be anywhere is surely nowhere. */
   nowhereElse(job: Job): boolean;
-  teamUsage(now: number): Map<number, Amounts>;
+  teamUsage(): Map<number, Amounts>;
   free(m: Machine): Amounts;
   moving(id: string): boolean;
   /** Gives a machine that was cleared to the shard that it was promised to. */
@@ -60,7 +60,7 @@
       )
       .sort((a, b) => b.priority - a.priority || a.order - b.order)
       .slice(0, PREEMPT_JOBS);
-    const usage = urgent.length > 0 ? this.hooks.teamUsage(now) : new Map<number, Amounts>();
+    const usage = urgent.length > 0 ? this.hooks.teamUsage() : new Map<number, Amounts>();
     for (const job of urgent) {
       const victims = this.victimsFor(job, usage, now);
       if (!victims || victims.length === 0) {
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -29,7 +29,6 @@
 import { Progress } from './progress.js';
 import { Questions } from './questions.js';
 import { Starts } from './starts.js';
-import { Surplus } from './surplus.js';
 import { JobTable } from './table.js';
 import { Telling } from './telling.js';
 import { Unseen } from './unseen.js';
@@ -50,7 +49,6 @@
   private readonly planner: Planner;
   private readonly demand: Demand;
   private readonly supply: Supply;
-  private readonly surplus: Surplus;
   private readonly preemption: Preemption;
   private readonly starts: Starts;
   private readonly blame: Blame;
@@ -156,7 +154,7 @@
     this.preemption = new Preemption(world, this.fleet, jobs, this.log, {
       ready: () => this.ready,
       nowhereElse: (job) => this.unseen.nowhereElse(job),
-      teamUsage: (now) => this.starts.usageSince(now),
+      teamUsage: () => this.starts.teamUsage(),
       free: (m) => this.starts.freeOn(m, new Map()),
       moving: (id) => this.supply.moving.has(id),
       give: (id, to) => this.give(id, to, true),
@@ -169,24 +167,18 @@
       lostOwnership: () => this.lostOwnership(),
       uniqueName: (kind) => this.table.uniqueName(kind),
       needOf: (jobClass) => this.table.needs.get(jobClass) ?? null,
-      surplus: (m) => this.surplus.has(m.id),
       sawNothing: () => this.table.needs.size === 0,
       stir: () => this.stir(),
     });
-    this.surplus = new Surplus(world, this.fleet.machines, {
-      needOf: (h) => this.table.useOf(h)?.need ?? null,
-    });
     this.outlook = new Outlook(world, this.fleet, this.estimates, {
       useOf: (h) => this.table.useOf(h),
       withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
-      deadlines: () => this.table.deadlines,
-      surplus: (id) => this.surplus.has(id),
       rentals: () => this.supply.rentals,
       unseen: () => this.unseen.amounts(),
       heldBack: (job, now) => this.unseen.heldBack(job, now),
     });
     this.demand = new Demand(world, index, this.fleet, jobs, this.estimates, this.supply, this.preemption, {
-      teamUsage: (now) => this.starts.usageSince(now),
+      teamUsage: () => this.starts.teamUsage(),
       nowhereElse: (job) => this.unseen.nowhereElse(job),
       guaranteed: (job) => this.planner.isGuaranteed(job),
       spare: (m) => this.isSpare(m),
@@ -202,7 +194,6 @@
       this.starts,
       this.preemption,
       this.demand,
-      this.surplus,
     );
     this.questions = new Questions(
       world,
@@ -502,16 +493,13 @@
       team.placed += job.places.size;
       team.open += openCount(job);
     }
-    const machines = { all: 0, booting: 0, empty: 0, unsure: 0, surplus: 0, used: 0 };
+    const machines = { all: 0, booting: 0, empty: 0, unsure: 0 };
     for (const m of this.fleet.machines.values()) {
       machines.all++;
-      if (this.surplus.has(m.id)) machines.surplus++;
-      machines.used += this.surplus.shareOf(m);
       if (m.heardAt === null) machines.booting++;
       else if (!m.synced || m.lost || m.unknown) machines.unsure++;
       else if (m.held.size === 0) machines.empty++;
     }
-    machines.used = Math.round(machines.used);
     this.log.info({ teams, machines }, 'load');
   }
 
--- a/src/shard/starts.ts
+++ b/src/shard/starts.ts
@@ -32,8 +32,6 @@
 export class Starts {
   private attempts = 0;
   private lowStarts = 0;
-  /** What teams use with all that the last round has started, and when that was. */
-  private latest: { at: number; usage: Map<number, Amounts> } | null = null;
   private lowStartsAt = Number.NEGATIVE_INFINITY;
   /** Zones of the tasks that this round of starts has placed, by job. */
   private readonly pending = new Map<string, number[]>();
@@ -95,7 +93,6 @@
       start(s.job, [s]);
     }
     this.pending.clear();
-    this.latest = { at: now, usage };
     for (const [m, starts] of perMachine) {
       for (const h of this.fleet.start(m, starts)) {
         this.jobs.get(h.job)?.places.set(h.index, h);
@@ -201,12 +198,6 @@
     return free;
   }
 
-  /** As `teamUsage`, for what is decided in the same step as the last round of starts. */
-  usageSince(now: number): Map<number, Amounts> {
-    if (this.latest?.at !== now) return this.teamUsage();
-    return new Map([...this.latest.usage].map(([team, use]) => [team, { ...use }]));
-  }
-
   /** What each team's tasks take now, with all that may be somewhere unseen. */
   teamUsage(): Map<number, Amounts> {
     const usage = new Map<number, Amounts>();
--- a/src/shard/table.ts
+++ b/src/shard/table.ts
@@ -22,11 +22,6 @@
   private readonly mutexes = new Map<string, Mutex>();
   /** What a task of each class takes, as last seen. */
   readonly needs = new Map<string, Amounts>();
-  /** Whether there are unfinished jobs with a deadline of their user's. */
-  get deadlines(): boolean {
-    for (const job of this.jobs.values()) if (job.spec.deadlineS !== null) return true;
-    return false;
-  }
   private order = 0;
 
   constructor(
@@ -92,9 +87,8 @@
   }
 
   /** Whose a task on a machine is, and what it takes there. */
-  useOf(h: Held): { team: number; need: Amounts } | null {
-    h.use ??= this.jobs.get(h.job) ?? this.ended.get(h.job);
-    return h.use ?? null;
+  useOf(h: Held): { team: number; need: Amounts; spec?: JobSpec } | null {
+    return this.jobs.get(h.job) ?? this.ended.get(h.job) ?? null;
   }
 
   /** A name that nobody ever uses again: a shard can come back to the same process, but never with the same term. */
--- a/src/supply/supply.ts
+++ b/src/supply/supply.ts
@@ -60,8 +60,6 @@
   uniqueName(kind: string): string;
   /** What a task of a class takes, as far as the shard has had one. */
   needOf(jobClass: string): Amounts | null;
-  /** Whether the work at hand does not need a machine. */
-  surplus(m: Machine): boolean;
   /** Whether it has had no job yet, so that any class may be the first. */
   sawNothing(): boolean;
   stir(): void;
@@ -311,19 +309,12 @@
         o.kind !== 'finished' &&
         o.withinS !== null &&
         o.withinS < bootS * 1.5 &&
-        (o.class === null || this.suits(m, o.class)) &&
-        // A place that small tasks do not need now is soon found on the others.
-        !(this.hooks.surplus(m) && (o.class === null || this.isSmall(m, o.class))),
+        (o.class === null || this.suits(m, o.class)),
     );
     if (hasty.length === 0) return KEEP_SHORT_MS;
     return hasty.some((o) => (o.share ?? 1) >= NEARLY_ALL) ? KEEP_LONG_MS : KEEP_SOME_MS;
   }
 
-  private isSmall(m: Machine, jobClass: string): boolean {
-    const need = this.hooks.needOf(jobClass);
-    return need !== null && fitCount(this.world.catalog.size(m.type), need, KEPT_TASKS) >= KEPT_TASKS;
-  }
-
   private suits(m: Machine, jobClass: string): boolean {
     const need = this.hooks.needOf(jobClass);
     if (!need) return this.hooks.sawNothing();
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -1,4 +1,3 @@
-import type { Amounts } from '../plan/profile.js';
 import type { ExitCause, TaskState } from '../wire/workers.js';
 
 /** A task attempt that is, or may be, on a machine. */
@@ -16,8 +15,6 @@
    * has a newer token or session. `known`: the machine has reported it.
    */
   phase: 'sending' | 'answer' | 'unsure' | 'known';
-  /** Whose it is and what it takes, once that has been looked up; it never changes. */
-  use?: { team: number; need: Amounts };
   /** Token that the start was sent under. */
   token: number;
   orderedAt: number;
--- a/tests/plan.test.ts
+++ b/tests/plan.test.ts
@@ -35,47 +35,6 @@
   );
 });
 
-// Guards against fetches that cost more than they save: a task was pulled forward to a machine without its image, and took that
-// for longer than it would have waited.
-test('a task starts early elsewhere only where it ends no later, and goes to the image later rather than to a fetch', () => {
-  const none = new Set<number>();
-  const waits = machine({ held: [busy(5, 8)] });
-  const plan = new Plan(0, [waits, machine({ images: none })], noCaps);
-  plan.book(planJob({ imageGb: 20, deadline: 300 }));
-  assert.deepEqual([plan.bookings[0]!.machine, plan.bookings[0]!.start], [0, 5]);
-  plan.startEarly();
-  assert.deepEqual(
-    [plan.bookings[0]!.machine, plan.bookings[0]!.start],
-    [0, 5],
-    'a fetch of 20 s ends later',
-  );
-  const short = new Plan(0, [waits, machine({ images: none })], noCaps);
-  short.book(planJob({ imageGb: 2, deadline: 300 }));
-  short.startEarly();
-  assert.deepEqual([short.bookings[0]!.machine, short.bookings[0]!.start], [1, 0], 'one of 2 s ends sooner');
-});
-
-test('deadlines go to machines that stay, other arrays to spot ones, and machines that should run empty come last', () => {
-  const spot = machine({ spot: true, held: [busy(200)] });
-  const where = (machines: ReturnType<typeof machine>[], change: object) => {
-    const plan = new Plan(0, machines, noCaps);
-    plan.book(planJob(change));
-    return plan.bookings[0]!.machine;
-  };
-  assert.equal(where([spot, machine()], { likesSpot: null }), 0, 'the most loaded');
-  assert.equal(where([spot, machine()], { likesSpot: false }), 1);
-  assert.equal(where([machine({ held: [busy(200)] }), spot], { likesSpot: true }), 1);
-  assert.equal(
-    where([spot, machine({ readyAt: 500 })], { likesSpot: false, deadline: 100 }),
-    0,
-    'in time first',
-  );
-  const loaded = machine({ surplus: true, held: [busy(200)] });
-  assert.equal(where([loaded, machine()], {}), 1);
-  assert.equal(where([loaded, machine({ images: new Set() })], {}), 0, 'no fetch for it');
-  assert.equal(where([loaded, machine({ held: [busy(200, 8)] })], { deadline: 100 }), 0, 'and no delay');
-});
-
 test('the finish counts booting machines, fetches, bookings and the team’s limit', () => {
   assert.equal(
     new Plan(0, [machine({ readyAt: 30, images: new Set() })], noCaps).earliestFinish(planJob()),
--- a/tests/size.test.ts
+++ b/tests/size.test.ts
@@ -19,7 +19,6 @@
     readyAt: 0,
     until: Number.POSITIVE_INFINITY,
     closed: false,
-    surplus: false,
     fetchGbPerS: 1,
     images: new Set([i % 5]),
     held: [0, 1].map((k) => ({
@@ -42,7 +41,6 @@
     oneZone: kind === 'gang',
     spread: false,
     spot: true,
-    likesSpot: null,
     image: id % 5,
     imageGb: 3,
     runS: 60,
