One piece where two said the same; a stray whose address is another's is asked once

When a machine that hears reports next was worked out in two places; a job that its owner does not have was read twice, though the record's reader tells ends as well; the type of a stray was spelled out twice; and a late copy whose address another machine had by then was asked about each 250 ms for as long as the leader lived. Change: nextReportMs, Routing.stored alone, a named type; such a stray is dropped until it reports again.

--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -19,6 +19,15 @@
   ageS: number;
 }
 
+/** A machine that nobody has: whether it has reported, and whether it has shown that it is there. */
+interface Unassigned {
+  stray: Stray;
+  since: number;
+  reported: boolean;
+  there?: boolean;
+  asking?: boolean;
+}
+
 export interface LeaderHooks {
   /** Whether this node's lease surely lasts. */
   valid(): boolean;
@@ -55,10 +64,7 @@
  */
 export class Leader {
   private readonly gossip = new Map<number, { at: number; told: Gossip }>();
-  private readonly strays = new Map<
-    string,
-    { stray: Stray; since: number; reported: boolean; there?: boolean; asking?: boolean }
-  >();
+  private readonly strays = new Map<string, Unassigned>();
   private asking = 0;
   private readonly given = new Map<string, number>();
   private stopped = false;
@@ -224,7 +230,7 @@
    * Whether a machine that nobody has is there: the cloud lists it, or it answers. A report alone does not show that: it may be
    * a late copy, and the machine long gone, so that its place would be planned with until it counts as never come up.
    */
-  private isThere(id: string, s: { stray: Stray; there?: boolean; asking?: boolean }): boolean {
+  private isThere(id: string, s: Unassigned): boolean {
     if (s.there || this.world.catalog.listedById.has(id)) return true;
     if (s.asking || this.asking >= ASKED_AT_ONCE) return false;
     s.asking = true;
@@ -233,6 +239,8 @@
       .request(s.stray.addr, 'GET', WORKER_PATHS.show, null, ASK_MS)
       .then((shown) => {
         s.there = readReport(shown.body)?.machine === id;
+        // Its address is another's by now.
+        if (!s.there) this.strays.delete(id);
       })
       // It is asked again when it reports again.
       .catch(() => this.strays.delete(id))
--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -6,6 +6,7 @@
 import type { Taken } from '../standby/follower.js';
 import type { Keeper } from '../standby/keeper.js';
 import { WORKER_PATHS } from '../wire/workers.js';
+import { nextReportMs } from '../workers/machine.js';
 import type { World } from '../world/world.js';
 import { Leader, type LeaderHooks } from './leader.js';
 import type { Members } from './members.js';
@@ -115,7 +116,7 @@
     }
     const now = this.world.clock.now();
     const recent = this.world.settings.workers.leaseS * 1000;
-    const lately = this.world.settings.workers.reportS * 1250 + 500;
+    const lately = nextReportMs(this.world.settings.workers.reportS);
     let known = 0;
     let coming = 0;
     for (const s of this.shards.values()) {
--- a/src/shards/routing.ts
+++ b/src/shards/routing.ts
@@ -159,12 +159,8 @@
       return stored;
     }
     if (!answer) {
-      // Over, and the owner has forgotten it: the state service knows.
+      // Over, and the owner has forgotten it; or the owner cannot read all of it: the state service knows.
       this.routes.delete(id);
-      const again = await this.locate(id);
-      if (again?.final)
-        return { status: again.final, done: again.final === 'done' ? (again.tasks ?? 0) : 0, running: 0 };
-      // Its owner does not know of it, or cannot read all of it: it is known all the same.
       const stored = await this.stored(id);
       if (!stored) throw new Unavailable('between two owners');
       return stored;
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -11,7 +11,7 @@
   writeCommands,
   writeOrders,
 } from '../wire/workers.js';
-import { type Held, heldKey, type Machine, type Weight, weigh } from './machine.js';
+import { type Held, heldKey, type Machine, nextReportMs, type Weight, weigh } from './machine.js';
 
 /** How it became sure that a task is not on its machine. */
 export type GoneWhy =
@@ -190,16 +190,12 @@
    */
   strayed(id: string): void {
     const m = this.machines.get(id);
-    if (!m?.synced || m.heardAt === null || this.clock.now() - m.heardAt <= this.staysMs) return;
+    if (!m?.synced || m.heardAt === null || this.clock.now() - m.heardAt <= nextReportMs(this.times.reportS))
+      return;
     m.unreachableAt ??= this.clock.now();
     void this.contact(m, null);
   }
 
-  /** A machine that hears the answers to its reports sends the next one to the same node within this. */
-  private get staysMs(): number {
-    return this.times.reportS * 1250 + 500;
-  }
-
   /** When the machine has surely dropped all that it held, unless it reports before. */
   leaseEnd(m: Machine): number {
     return this.leaseFrom(m.answeredAt);
@@ -410,7 +406,8 @@
       m.idleSince = now;
       this.hooks.stir();
     }
-    if (via === 'command' || (m.heardAt !== null && now - m.heardAt <= this.staysMs)) m.unreachableAt = null;
+    const stays = m.heardAt !== null && now - m.heardAt <= nextReportMs(this.times.reportS);
+    if (via === 'command' || stays) m.unreachableAt = null;
     m.heardAt = now;
     if (m.lost) {
       m.lost = false;
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -63,6 +63,11 @@
   closedUntil: number;
 }
 
+/** A machine that hears the answers to its reports sends the next one to the same node within this. */
+export function nextReportMs(reportS: number): number {
+  return reportS * 1250 + 500;
+}
+
 /** What a report counts for: `late` and `foreign` say nothing, `untokened` only that the machine is there. */
 export type Weight = 'late' | 'foreign' | 'untokened' | 'ok';
 
--- a/tests/late.test.ts
+++ b/tests/late.test.ts
@@ -35,6 +35,13 @@
       assert.equal(c.state.value(`c/m/${w.id}`), undefined, `dealt out (restarted: ${restart})`);
     }
   }
+  // Its address may be another machine's by then: that one is asked no more often than copies come.
+  let asked = 0;
+  c.net.peers.set(w.place.addr, () => ({ status: 200, body: { ...report, worker: `m-${++asked}` } }));
+  deliver(c, 'n0', report);
+  await c.clock.advance(10_000);
+  assert.equal(asked, 1);
+  c.net.peers.delete(w.place.addr);
   const real = c.addWorker('c8', 'a');
   assert.ok(await c.clock.until(() => c.state.value(`c/m/${real.id}`) !== undefined, 15_000));
 });
