A cancellation asked for stops the job at once, and its end is stored until decided

Cause: JobRecords.finish throws "not decided" when its write got no answer and cannot be read back, and nothing tried again. The write may have been made, or be made seconds later: any other node then reads the record and tells the user that the job is cancelled (or done), while the owner renews the leases of its tasks for good and calls it running. Read in the code by the issue; true, for cancellations and for completions alike.

Change: the question itself stops the job's tasks (Progress.unwant); its end is tried at each tick until it is decided one way, by the loop that ends doomed jobs; from the first write of an end until that is decided the owner does not say how the job stands, and what the state service has is told instead. What needs a job that its user wants cancelled is not called sure meanwhile.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -38,6 +38,10 @@
   waitsFor: Set<string>;
   /** A job that it needs was cancelled: it is cancelled as well, as soon as that can be stored. */
   doomed: boolean;
+  /** Its user has asked to cancel it: nothing of it is wanted any more, and its end is stored as soon as that can be. */
+  unwanted: boolean;
+  /** A write of its end was sent and may have been made: others may have read it there, and told its user. */
+  ending: boolean;
   /** Priority and deadline, its own or those of the most urgent job that needs it. */
   priority: number;
   /** A task of it has run under this owner: told once. */
@@ -116,6 +120,8 @@
     partsUnder: null,
     waitsFor: new Set(),
     doomed: false,
+    unwanted: false,
+    ending: false,
     priority: spec.priority,
     begun: false,
     pressing: false,
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -277,7 +277,10 @@
     }
   }
 
-  /** Makes a job's end durable; returns how it stands. */
+  /**
+   * Makes a job's end durable; returns how it stands. A try that surely came to nothing leaves it undecided whether one before
+   * it did: `ending` stays until a try has found out, also by a write that the network delivers late.
+   */
   async finish(job: Job, final: 'done' | 'cancelled'): Promise<'done' | 'cancelled'> {
     const id = job.spec.id;
     const entry: JobEntry = { shard: this.shard, final, tasks: job.spec.tasks };
@@ -287,6 +290,8 @@
       if (writes.length > this.limits.txnOps) void this.sweep(writes.slice(this.limits.txnOps));
       if (job.partsUnder !== null) void this.sweepParts(job.partsUnder);
     };
+    const undecided = job.ending;
+    job.ending = true;
     try {
       // Condition on the active record: a late copy of this write finds it gone.
       const result = await this.write(
@@ -298,7 +303,10 @@
         return final;
       }
     } catch (error) {
-      if (!(error instanceof StateFailure) || !error.maybe) throw error;
+      if (!(error instanceof StateFailure) || !error.maybe) {
+        job.ending = undecided;
+        throw error;
+      }
     }
     const stored = await this.store.get(KEYS.job(id));
     const known = stored && readJobEntry(stored.value);
--- a/src/shard/progress.ts
+++ b/src/shard/progress.ts
@@ -53,7 +53,7 @@
     }
     const other = job.places.get(h.index);
     if (h.state !== 'exited') {
-      if (job.done.has(h.index) || (other && other !== h)) this.fleet.halt(h, 0);
+      if (job.unwanted || job.done.has(h.index) || (other && other !== h)) this.fleet.halt(h, 0);
       if (!other) job.places.set(h.index, h);
       else if (other !== h) job.doubles.add(h);
       this.noteAttempt(job, h);
@@ -223,6 +223,17 @@
     }
   }
 
+  /**
+   * A job's user has asked to cancel it. That is enough to stop it: its tasks end whether or not the end can be stored soon, and
+   * before anybody else can have read it. It is called cancelled only once that is stored.
+   */
+  unwant(job: Job): void {
+    job.unwanted = true;
+    job.notBefore = Number.POSITIVE_INFINITY;
+    for (const h of [...job.places.values(), ...job.doubles]) this.fleet.halt(h, 0);
+    this.fleet.pushStops();
+  }
+
   /** A job has been stored as over: nothing of it is wanted on machines any more. */
   end(job: Job, status: 'done' | 'cancelled'): void {
     const id = job.spec.id;
--- a/src/shard/questions.ts
+++ b/src/shard/questions.ts
@@ -147,9 +147,13 @@
     return answer && this.tellable(id, answer);
   }
 
-  /** Of a job that may have to be cancelled with one that it needs, nothing is told that may be wrong. */
+  /**
+   * Nothing is told that may be wrong: of a job that may have to be cancelled with one that it needs, or whose end may be stored
+   * by now, so that another node has told it. What the state service has is told instead.
+   */
   private tellable(id: string, answer: StatusAnswer): StatusAnswer {
     const job = this.table.jobs.get(id);
+    if (job?.ending) throw new Unavailable('whether the job is over is not known now');
     if (job && !this.waiting.mayTell(job)) throw new Unavailable('what the job waits for is not known now');
     return answer;
   }
@@ -159,8 +163,7 @@
     if (!this.table.known(id)) await this.recall(id);
     const job = this.table.jobs.get(id);
     if (job) {
-      // From here on nothing of it starts, also while the state service does not answer.
-      job.notBefore = Number.POSITIVE_INFINITY;
+      this.progress.unwant(job);
       await this.table.mutex(id).runExclusive(async () => {
         if (job.state !== 'active') return;
         this.check();
@@ -171,10 +174,14 @@
     return this.table.endedAs(id);
   }
 
-  /** Cancels jobs of which one that they need was cancelled; what cannot be stored now is tried again. */
+  /**
+   * Cancels jobs of which one that they need was cancelled, or that their users want cancelled; what cannot be stored now is
+   * tried again until it is decided one way. A write without an answer may have been made, or be made later: who reads the record
+   * tells the user, who need not come back, and here the job would never end.
+   */
   endDoomed(): void {
     for (const job of this.table.jobs.values()) {
-      if (!job.doomed || this.ending.has(job)) continue;
+      if (!(job.doomed || job.unwanted) || this.ending.has(job)) continue;
       if (this.ending.size >= DOOMED_AT_ONCE) return;
       this.ending.add(job);
       void this.table
--- a/src/shard/waiting.ts
+++ b/src/shard/waiting.ts
@@ -211,8 +211,9 @@
 
   /** How long ago a job was surely not to be cancelled for one that it needs, directly or through others. */
   private age(job: Job, now: number): number {
-    if (job.waitsFor.size === 0) return 0;
-    return job.doomed ? Number.POSITIVE_INFINITY : now - (this.known.get(job)?.sureAt ?? 0);
+    // One that its user wants cancelled may be called so by whoever reads its record, before its owner knows that it is stored.
+    if (job.doomed || job.unwanted) return Number.POSITIVE_INFINITY;
+    return job.waitsFor.size === 0 ? 0 : now - (this.known.get(job)?.sureAt ?? 0);
   }
 
   /**
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -18,7 +18,7 @@
 import { FakeClock } from './clock.js';
 import { FakeNet } from './net.js';
 
-const STATE = '10.2.0.1:2379';
+export const STATE = '10.2.0.1:2379';
 const CLOUD = '10.2.0.2:8443';
 export const LEASE_S = 20;
 
@@ -111,7 +111,7 @@
   private made = 0;
 
   constructor(private readonly names: string[]) {
-    this.net.peers.set(STATE, (m, p, b) => this.state.serve(m, p, b));
+    this.net.peers.set(STATE, (m, p, b, from) => this.state.serve(m, p, b, from));
     this.net.peers.set(CLOUD, (m, p, b) => {
       const rental = m === 'POST' && p === CLOUD_PATHS.machines ? readRental(b) : null;
       if (rental) this.rented.push(rental);
--- a/tests/support/net.ts
+++ b/tests/support/net.ts
@@ -2,10 +2,13 @@
 import type { Served } from '../../src/emulator/state.js';
 import { type HttpAnswer, HttpFailure, type Requester } from '../../src/http/client.js';
 
-export type Peer = (method: string, path: string, body: unknown) => Served | Promise<Served>;
+export type Peer = (method: string, path: string, body: unknown, from: string) => Served | Promise<Served>;
 
-/** What becomes of a request: `lost-answer` executes it, `hold` keeps it until the test lets it go. */
-export type Fate = 'deliver' | 'refuse' | 'silent' | 'lost-answer' | 'hold';
+/**
+ * What becomes of a request: `lost-answer` executes it, `hold` keeps it until the test lets it go, a number delivers it after so
+ * many milliseconds, to nobody's knowledge.
+ */
+export type Fate = 'deliver' | 'refuse' | 'silent' | 'lost-answer' | 'hold' | number;
 
 /** A network of scripted peers; a test decides the fate of each request. */
 export class FakeNet {
@@ -24,7 +27,7 @@
 
   /** Delivers what was held, to nobody's knowledge. */
   async release(): Promise<void> {
-    for (const h of this.held.splice(0)) await this.peers.get(h.addr)?.(h.method, h.path, h.body);
+    for (const h of this.held.splice(0)) await this.peers.get(h.addr)?.(h.method, h.path, h.body, h.from);
   }
 
   private async request(
@@ -40,7 +43,9 @@
     const peer = this.peers.get(addr);
     if (fate === 'refuse' || !peer) throw new HttpFailure('refused', false);
     if (fate === 'hold') this.held.push({ addr, method, path, body: copy, from });
-    if (fate === 'lost-answer') void peer(method, path, copy);
+    if (fate === 'lost-answer') void peer(method, path, copy, from);
+    if (typeof fate === 'number')
+      this.clock.after(fate, () => void this.peers.get(addr)?.(method, path, copy, from));
     if (fate !== 'deliver') {
       await new Promise<void>((resolve) => {
         this.clock.after(timeoutMs, resolve);
@@ -49,7 +54,7 @@
     }
     return new Promise((resolve, reject) => {
       const timer = this.clock.after(timeoutMs, () => reject(new HttpFailure('timeout', true)));
-      void Promise.resolve(peer(method, path, copy)).then((served) => {
+      void Promise.resolve(peer(method, path, copy, from)).then((served) => {
         timer.cancel();
         resolve({ ...served, headers: new Map() });
       });
