--- a/src/emulator/state.ts
+++ b/src/emulator/state.ts
@@ -28,6 +28,8 @@
   under: string;
   since: number;
   from: string;
+  /** Its time is over; it waited on, since nothing is served to it. */
+  due: boolean;
   done: (s: Served) => void;
 }
 
@@ -210,12 +212,17 @@
 
   private watch(query: URLSearchParams, from: string): Promise<Served> {
     return new Promise((done) => {
-      const watcher = { under: query.get('under') ?? '', since: Number(query.get('since')), from, done };
+      const watcher = {
+        under: query.get('under') ?? '',
+        since: Number(query.get('since')),
+        from,
+        due: false,
+        done,
+      };
       this.waiting.push(watcher);
       this.clock.after(Math.min(60_000, Number(query.get('waitMs') ?? 0)), () => {
-        if (!this.waiting.includes(watcher)) return;
-        this.waiting = this.waiting.filter((w) => w !== watcher);
-        done({ status: 200, body: writeChanges([], this.revision) });
+        watcher.due = true;
+        this.wake();
       });
       this.wake();
     });
@@ -232,7 +239,7 @@
       let first = this.changes.length;
       while (first > 0 && this.changes[first - 1]!.version > w.since) first--;
       const changes = this.changes.slice(first).filter((c) => c.key.startsWith(w.under));
-      if (changes.length === 0) return true;
+      if (changes.length === 0 && !w.due) return true;
       w.done({ status: 200, body: writeChanges(changes, this.revision) });
       return false;
     });
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -155,8 +155,9 @@
     const a = (typeof args === 'object' && args !== null ? args : {}) as Record<string, unknown>;
     if (FOR_OWNERS.has(op) && !this.own.shards.get(Number(a.shard))?.ready) {
       // Just handed over by this node, or to it: whoever asked need not notice.
-      const next = this.members.successor(Number(a.shard));
-      if (next && this.mesh) return this.mesh.ask(next.node, op, a, SWITCH_MS);
+      // Passed on once at most: two nodes that have each handed it to the other, and know no better yet, would go on for ever.
+      const next = a.passed === true ? null : this.members.successor(Number(a.shard));
+      if (next && this.mesh) return this.mesh.ask(next.node, op, { ...a, passed: true }, SWITCH_MS);
       await this.own.soon(Number(a.shard));
     }
     switch (op) {
--- a/tests/emulator.test.ts
+++ b/tests/emulator.test.ts
@@ -245,3 +245,25 @@
   );
   assert.ok(shares.slice(4).every((s) => s.share === 1));
 });
+
+// Guards against a stand-in that lets a refused caller's watch end with a revision of which it never told the changes.
+test('a watch of a refused caller waits on beyond its time, and misses nothing', async () => {
+  const clock = new FakeClock();
+  const state = new StateService(clock);
+  await state.serve('POST', '/txn', { when: [], writes: [{ set: 'c/a', value: 1 }] });
+  let told: { ledgerRev: number; events: { set: string }[] } | null = null;
+  state.refusing.add('n0');
+  void Promise.resolve(state.serve('GET', '/watch?under=c/&since=1&waitMs=3000', null, 'n0')).then((s) => {
+    told = s.body as typeof told;
+  });
+  await state.serve('POST', '/txn', { when: [], writes: [{ set: 'c/b', value: 2 }] });
+  await clock.advance(8000);
+  assert.equal(told, null);
+  state.refusing.delete('n0');
+  await state.serve('POST', '/txn', { when: [], writes: [{ set: 'd/x', value: 3 }] });
+  await clock.advance(10);
+  assert.deepEqual(
+    told!.events.map((e) => e.set),
+    ['c/b'],
+  );
+});
--- a/tests/support/clock.ts
+++ b/tests/support/clock.ts
@@ -4,13 +4,17 @@
   at: number;
   order: number;
   run: () => void;
+  cancelled: boolean;
 }
 
+const before = (a: Due, b: Due) => a.at < b.at || (a.at === b.at && a.order < b.order);
+
 /** A clock that stands still until a test moves it. */
 export class FakeClock implements Clock {
   private time = 1_000_000;
   private order = 0;
-  private due: Due[] = [];
+  /** A heap, the first of all at its root. */
+  private readonly due: Due[] = [];
 
   now(): number {
     return this.time;
@@ -21,11 +25,16 @@
   }
 
   after(ms: number, run: () => void): Timer {
-    const entry = { at: this.time + Math.max(0, ms), order: this.order++, run };
-    this.due.push(entry);
+    const entry = { at: this.time + Math.max(0, ms), order: this.order++, run, cancelled: false };
+    let i = this.due.length;
+    for (let up = (i - 1) >> 1; i > 0 && before(entry, this.due[up]!); up = (i - 1) >> 1) {
+      this.due[i] = this.due[up]!;
+      i = up;
+    }
+    this.due[i] = entry;
     return {
       cancel: () => {
-        this.due = this.due.filter((d) => d !== entry);
+        entry.cancelled = true;
       },
     };
   }
@@ -39,13 +48,11 @@
     const end = this.time + ms;
     await this.settle();
     for (;;) {
-      const next = this.due.reduce<Due | null>(
-        (best, d) => (!best || d.at < best.at || (d.at === best.at && d.order < best.order) ? d : best),
-        null,
-      );
+      const next = this.due[0];
       if (!next || next.at > end) break;
+      this.takeFirst();
+      if (next.cancelled) continue;
       this.time = Math.max(this.time, next.at);
-      this.due = this.due.filter((d) => d !== next);
       next.run();
       await this.settle();
     }
@@ -53,6 +60,22 @@
     await this.settle();
   }
 
+  /** Takes the first of the heap away. */
+  private takeFirst(): void {
+    const last = this.due.pop()!;
+    if (this.due.length === 0) return;
+    let i = 0;
+    for (;;) {
+      let child = 2 * i + 1;
+      if (child >= this.due.length) break;
+      if (child + 1 < this.due.length && before(this.due[child + 1]!, this.due[child]!)) child++;
+      if (!before(this.due[child]!, last)) break;
+      this.due[i] = this.due[child]!;
+      i = child;
+    }
+    this.due[i] = last;
+  }
+
   /** Moves on in small steps until something holds. */
   async until(what: () => boolean, withinMs: number): Promise<boolean> {
     for (let spent = 0; spent <= withinMs; spent += 20) {
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -6,7 +6,7 @@
 import type { Settings } from '../../src/config/settings.js';
 import { CloudService } from '../../src/emulator/cloud.js';
 import { StateService } from '../../src/emulator/state.js';
-import { Worker } from '../../src/emulator/worker.js';
+import { type Runtime, Worker } from '../../src/emulator/worker.js';
 import type { HttpReply, HttpRequest } from '../../src/http/server.js';
 import type { Mesh } from '../../src/peer/mesh.js';
 import { ControllerNode } from '../../src/shards/node.js';
@@ -59,10 +59,7 @@
   readonly net = new FakeNet(this.clock);
   readonly state = new StateService(this.clock);
   readonly cloud = new CloudService(this.clock, {
-    types: () =>
-      [['c8', 8, 0] as const, ['g8', 8, 2] as const, ...this.moreTypes].map(([n, c, g]) =>
-        this.type(n, c, g),
-      ),
+    types: () => this.types,
     rent: (r) => this.rent(r),
     release: (ids) => this.release(ids),
     list: () =>
@@ -107,6 +104,8 @@
   condor = false;
   /** Nodes that are started have standbys; a list names those that do. */
   standby: boolean | string[] = false;
+  /** What becomes of tasks on workers that are added from here on; without it they run until a test ends them. */
+  runtime: Runtime | null = null;
   private runs = 0;
   private made = 0;
 
@@ -124,7 +123,7 @@
     const n = ++this.made;
     const id = `m-${String(n).padStart(6, '0')}`;
     const addr = `10.1.${n >> 8}.${n & 255}:9000`;
-    const worker = new Worker(this.clock, { id, addr, type, zone, spot }, LEASE_S);
+    const worker = new Worker(this.clock, { id, addr, type, zone, spot }, LEASE_S, this.runtime);
     this.net.peers.set(addr, (m, p, b) =>
       this.deaf.has(worker) ? new Promise(() => undefined) : worker.serve(m, p, b),
     );
@@ -333,6 +332,13 @@
     });
   }
 
+  /** All machine types, as the cloud tells them. */
+  get types(): MachineType[] {
+    return [['c8', 8, 0] as const, ['g8', 8, 2] as const, ...this.moreTypes].map(([n, c, g]) =>
+      this.type(n, c, g),
+    );
+  }
+
   private type(name: string, cpus: number, gpus: number): MachineType {
     const price = cpus / 10 + gpus * this.cardPrice;
     return {
@@ -358,11 +364,18 @@
     });
   }
 
+  /** A machine is gone with all that is on it. */
+  remove(w: Worker): void {
+    this.workers.splice(this.workers.indexOf(w), 1);
+    this.net.peers.delete(w.place.addr);
+    w.die();
+  }
+
   private release(ids: string[]): void {
     for (const id of ids) {
       this.released.push(id);
       const w = this.workers.find((x) => x.id === id);
-      if (w) this.workers.splice(this.workers.indexOf(w), 1);
+      if (w) this.remove(w);
     }
   }
 }
