Presence is written over what is known only; a node's lease follows from the settings

Cause (gone through write by write): c/node/N was put without a condition. A copy that the state service carries out late, under a lease that its node gave up at once, replaced the present one and went with that lease: the node was absent for good, so no shard went home to it, no standby was named there. A "coming back" that got no answer was never told again, and the node stood aside for good. c/speaks/N likewise; a late chunk of done tasks stayed after its job's end.

Change: presence and level are written under the version read before, read back when nobody answers, and told again with a later renewal; chunks need the job's record as well.

--- /dev/null
+++ b/src/config/bounds.ts
@@ -0,0 +1,23 @@
+import { DRIFT } from '../clock/clock.js';
+
+/** A node's lease in the state service where nothing asks for a shorter one. */
+const LEASE_MS = 8000;
+/** A shorter one would be lost to a state service that is merely slow. */
+const LEASE_LEAST_MS = 3000;
+/** What a stop may take beside: an order that gets no answer, and the margin after which a machine's lease counts as over. */
+const STOP_MS = 3500;
+
+/**
+ * How long a node's lease in the state service may last, in milliseconds. An owner that the service does not reach acts on for as
+ * long as that, and its last answer keeps a machine's tasks for a worker's lease more, while another node may have told a user
+ * meanwhile that a job is cancelled: `leaseMs` + worker's lease with drift + what a stop takes stays below `cancelS`. Where even the
+ * shortest lease does not allow it, `missingMs` says by how much (docs/design.md, "Safety").
+ */
+export function nodeLease(workers: { leaseS: number; cancelS: number }): {
+  leaseMs: number;
+  missingMs: number;
+} {
+  const most = Math.floor(workers.cancelS * 1000 - workers.leaseS * 1000 * (1 + 2 * DRIFT) - STOP_MS);
+  const leaseMs = Math.min(LEASE_MS, Math.max(LEASE_LEAST_MS, most));
+  return { leaseMs, missingMs: Math.max(0, leaseMs - most) };
+}
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -3,6 +3,7 @@
 import { Api, claimOf } from './api/routes.js';
 import { quickClock } from './clock/clock.js';
 import { Cloud } from './cloud/cloud.js';
+import { nodeLease } from './config/bounds.js';
 import { LEVELS, makeLog } from './config/log.js';
 import { loadSettings, partSockets, type Settings, SettingsError } from './config/settings.js';
 import { version } from './config/version.js';
@@ -41,6 +42,8 @@
   const log = makeLog(options.logLevel, settings.node);
   process.on('uncaughtException', (error) => log.error({ error: error.stack }, 'uncaught'));
   process.on('unhandledRejection', (error) => log.error({ error: String(error) }, 'unhandled'));
+  const { leaseMs, missingMs } = nodeLease(settings.workers);
+  if (missingMs > 0) log.warn({ leaseMs, missingMs }, tooTight(missingMs));
   const clock = quickClock(options.clockSpeed);
   const sockets = partSockets(settings.limits.maxSockets);
   const services = new HttpClient(clock, {
@@ -126,6 +129,10 @@
   await node.start(mesh);
 }
 
+function tooTight(missingMs: number): string {
+  return `workers.cancel_s is ${Math.ceil(missingMs / 1000)} s too short for workers.lease_s: tasks of a cancelled job may outlast it in an outage`;
+}
+
 function speed(text: string): number {
   const times = Number(text);
   if (!(times >= 1 && times <= 100)) throw new InvalidArgumentError('from 1 to 100');
@@ -173,6 +180,8 @@
     }
     if (options.check) {
       process.stdout.write('settings are valid\n');
+      const { missingMs } = nodeLease(settings.workers);
+      if (missingMs > 0) process.stdout.write(`${tooTight(missingMs)}\n`);
       return;
     }
     await run(settings, options);
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -233,7 +233,11 @@
     const keys = chunks.map((n) => KEYS.chunk(job.spec.id, n));
     try {
       const result = await this.write(
-        chunks.map((n, i) => ({ key: keys[i]!, version: job.chunkVersions.get(n) ?? 0 })),
+        [
+          // One that comes late, after the job's end, would leave a chunk behind that nobody ever drops.
+          { key: KEYS.activeJob(job.spec.id), version: job.version },
+          ...chunks.map((n, i) => ({ key: keys[i]!, version: job.chunkVersions.get(n) ?? 0 })),
+        ],
         chunks.map((n, i) => ({ put: keys[i]!, value: this.chunkValue(job, n) })),
       );
       if (result.ok) {
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -5,8 +5,9 @@
 import type { Condition, Write } from '../wire/state.js';
 import { Mirror } from './mirror.js';
 
-export const LEASE_MS = 8000;
-const RENEW_MS = 2000;
+/** Of its lease, when a node renews it, and how long it waits for the answer. */
+const RENEW_SHARE = 1 / 4;
+const RENEW_WAIT_SHARE = 3 / 16;
 const RETRY_MS = 400;
 const MARGIN_MS = 150;
 
@@ -19,6 +20,9 @@
   private lease: number | null = null;
   private validUntil = Number.NEGATIVE_INFINITY;
   private left = false;
+  /** Whether this node takes no shards, and whether its presence is sure to say so. */
+  private standsAside = false;
+  private shown = false;
   private renewedAt = Number.NEGATIVE_INFINITY;
   private failingSince: number | null = null;
   /** Who takes a shard that this node has handed over, until the copy shows more than this node's own term. */
@@ -37,7 +41,9 @@
     /** Which level of records and messages this node understands. */
     private readonly speaks: number,
     /** Whether this node stands by for shards. */
-    private readonly stands = false,
+    private readonly stands: boolean,
+    /** How long its lease lasts, in milliseconds. */
+    private readonly leaseMs: number,
   ) {
     this.mirror = new Mirror(clock, store, KEYS.cluster, log, onChange);
   }
@@ -70,7 +76,12 @@
   }
 
   private get presence(): Holder {
-    return { ...this.holder, speaks: this.speaks, ...(this.stands && { stands: true }) };
+    return {
+      ...this.holder,
+      speaks: this.speaks,
+      ...(this.stands && { stands: true }),
+      ...(this.standsAside && { aside: true }),
+    };
   }
 
   /**
@@ -90,7 +101,11 @@
     const key = KEYS.speaks(this.node);
     try {
       const known = await this.store.get(key);
-      if (known?.value !== this.speaks) await this.store.txn([], [{ put: key, value: this.speaks }]);
+      if (known?.value === this.speaks) return;
+      // A copy that comes late finds what a later version has said.
+      const when = [{ key, version: known?.version ?? 0 }];
+      const told = await this.store.txn(when, [{ put: key, value: this.speaks }]);
+      if (!told.ok) throw new StateFailure('something else was said meanwhile', false);
     } catch (error) {
       this.log.info({ error: String(error) }, 'level not told');
       this.clock.after(RETRY_MS * 5, () => void this.tellLevel());
@@ -168,11 +183,31 @@
     return this.presenceOf(node)?.aside === true;
   }
 
-  /** Tells the others whether this node takes shards. */
+  /** Tells the others whether this node takes shards; what cannot be told now is told with a later renewal of the lease. */
   async tellAside(aside: boolean): Promise<void> {
-    if (this.lease === null) return;
-    const value = { ...this.presence, aside };
-    await this.store.txn([], [{ put: KEYS.node(this.node), value, lease: this.lease }], true);
+    this.standsAside = aside;
+    this.shown = false;
+    if (this.lease !== null) await this.show(this.lease);
+  }
+
+  /**
+   * Writes this node's presence, in place of what is known to be there only: a copy that the network delivers late would bring back
+   * the presence of a lease that ends, and the node would be absent for good.
+   */
+  private async show(lease: number): Promise<void> {
+    const key = KEYS.node(this.node);
+    const value = { ...this.presence, lease };
+    const version = (await this.store.get(key))?.version ?? 0;
+    try {
+      const written = await this.store.txn([{ key, version }], [{ put: key, value, lease }], true);
+      this.shown = written.ok;
+    } catch (error) {
+      if (!(error instanceof StateFailure) || !error.maybe) throw error;
+      const stored = await this.store.get(key);
+      this.shown = JSON.stringify(stored && readHolder(stored.value)) === JSON.stringify(readHolder(value));
+    }
+    if (!this.shown) throw new StateFailure('presence is not decided', true);
+    if (value.aside !== this.presence.aside) this.shown = false;
   }
 
   async start(): Promise<void> {
@@ -200,18 +235,14 @@
 
   private async join(): Promise<void> {
     const sent = this.clock.now();
-    const lease = await this.store.grant(LEASE_MS);
-    await this.store.txn(
-      [],
-      [{ put: KEYS.node(this.node), value: { ...this.presence, lease }, lease }],
-      true,
-    );
+    const lease = await this.store.grant(this.leaseMs);
+    await this.show(lease);
     this.lease = lease;
     this.extend(sent);
   }
 
   private extend(sent: number): void {
-    this.validUntil = Math.max(this.validUntil, sent + LEASE_MS * (1 - 2 * DRIFT) - MARGIN_MS);
+    this.validUntil = Math.max(this.validUntil, sent + this.leaseMs * (1 - 2 * DRIFT) - MARGIN_MS);
     this.renewedAt = Math.max(this.renewedAt, sent);
     this.failingSince = null;
   }
@@ -226,7 +257,8 @@
   }
 
   private async keep(): Promise<void> {
-    let wait = RENEW_MS;
+    const renewMs = this.leaseMs * RENEW_SHARE;
+    let wait = renewMs;
     for (;;) {
       await pause(this.clock, wait);
       if (this.left) return;
@@ -235,13 +267,18 @@
       try {
         if (this.lease === null) {
           await this.join();
-          wait = RENEW_MS;
+          wait = renewMs;
           continue;
         }
         const sent = this.clock.now();
-        if (await this.store.renew(this.lease, 1500)) {
+        if (await this.store.renew(this.lease, this.leaseMs * RENEW_WAIT_SHARE)) {
           this.extend(sent);
-          wait = RENEW_MS;
+          wait = renewMs;
+          // Beside it: a write that waits for its answer must not keep the lease from its next renewal.
+          if (!this.shown)
+            void this.show(this.lease).catch((error) =>
+              this.log.debug({ error: String(error) }, 'presence not told'),
+            );
         } else {
           this.log.info('lease lost');
           this.lease = null;
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -1,4 +1,5 @@
 // In this room: who owns what: members, claims, leader, routing, letters.
+import { nodeLease } from '../config/bounds.js';
 import type { Job, JobEntry } from '../jobs/job.js';
 import { readSpec } from '../jobs/records.js';
 import { KEYS, LEVEL, MATCH_LEVEL, readHolder, readMachineRecord } from '../keys/keys.js';
@@ -60,6 +61,7 @@
       () => this.own.dropAll(),
       world.matcher ? MATCH_LEVEL : LEVEL,
       standbys !== null,
+      nodeLease(s.workers).leaseMs,
     );
     const shards = () => this.own.shards;
     this.mailbox = new Mailbox(world, this.members.mirror, (shard, op, args) => {
