--- a/tests/meetings.test.ts
+++ b/tests/meetings.test.ts
@@ -312,3 +312,92 @@
   assert.ok(tighter.leaseMs < 6000 && tighter.leaseMs + 16_000 + 3000 < 25_000);
   assert.ok(nodeLease({ leaseS: 20, cancelS: 22 }).missingMs > 3000);
 });
+
+// Guards against done tasks that a change of owner loses, runs again or counts too early: stored by the one, reported to the other,
+// or in flight at both, in a job whose tasks end far apart.
+test('tasks that end far apart across a change of owner are each done once, and the job only with the last', async () => {
+  for (const change of ['crash', 'switch', 'freeze'] as const) {
+    const { c, k } = await busy(1);
+    const old = c.owner(k)!;
+    const on = (task: string) => c.workers.find((w) => w.attempts.some((a) => a.task === task))!;
+    const [first, second, third] = ['wk-1/0', 'wk-1/1', 'wk-1/2'].map(on);
+    first!.end('wk-1/0', 'done');
+    assert.ok(await c.clock.until(() => c.state.value('act/wk-1/0') !== undefined, 6000), 'stored');
+    await c.clock.advance(3000);
+    let late = 0;
+    c.net.fate = (from, addr, _method, path, body) => {
+      if (from !== old || addr !== STATE || path !== '/txn') return 'deliver';
+      if (!JSON.stringify(body).includes('"act/wk-1/0"')) return 'deliver';
+      late++;
+      return 5000;
+    };
+    second!.end('wk-1/1', 'done');
+    assert.ok(await c.clock.until(() => late > 0, 6000), 'reported, and its write is under way');
+    let wake: () => void = () => undefined;
+    if (change === 'crash') c.killNode(old);
+    else if (change === 'freeze') wake = c.freeze(old);
+    else void c.nodes.get(old)!.node.leave();
+    const asked = NODES.filter((n) => n !== old);
+    assert.ok(await c.clock.until(() => c.owner(k) !== undefined && c.owner(k) !== old, 9000), change);
+    for (let i = 0; i < 30; i++) {
+      const heard = await status(c, asked[i % 2]!, 'wk-1');
+      assert.ok(
+        heard !== 'done' && heard !== 404 && heard !== 'aborted',
+        `${change}: ${heard} while a task runs`,
+      );
+      if (i === 12) wake();
+      await c.clock.advance(600);
+    }
+    third!.end('wk-1/2', 'done');
+    let done = false;
+    await c.clock.until(() => {
+      done = c.state.value('job/wk-1') !== undefined;
+      return done;
+    }, 8000);
+    assert.ok(done, `${change}: done with the last`);
+    for (const n of asked) assert.equal(await status(c, n, 'wk-1'), 'done');
+    assert.deepEqual(
+      c.workers.flatMap((w) => w.started).sort(),
+      ['wk-1/0', 'wk-1/1', 'wk-1/2'],
+      'none runs again',
+    );
+  }
+});
+
+// Guards against a leader that is cut off from the state service and the other nodes, and tells users who still reach it what was true
+// before: another has accepted, ended and cancelled jobs since.
+test('a leader that keeps only workers and users says nothing older than what the new one has told', async () => {
+  const { c, k } = await busy(2);
+  const old = c.owner(k)!;
+  const others = NODES.filter((n) => n !== old);
+  c.state.refusing.add(old);
+  c.net.fate = (from, addr) => (from === old && addr === STATE ? 'silent' : 'deliver');
+  c.parted = new Set([old]);
+  assert.ok(await c.clock.until(() => c.owner(k) !== old && c.owner(k) !== undefined, 9000));
+  await c.clock.advance(1500);
+  assert.equal((await c.call(others[0]!, 'POST', '/api/jobs/wk-1/abort')).status, 200);
+  for (const w of c.workers) for (const a of [...w.attempts]) if (a.job === 'wk-2') w.end(a.task, 'done');
+  assert.ok(await c.submit(others[1]!, job('wk-9', { cpus: 8 })));
+  for (let i = 0; i < 9; i++) {
+    for (const [id, final] of [
+      ['wk-1', 'aborted'],
+      ['wk-2', 'done'],
+    ] as const) {
+      const heard = await status(c, old, id);
+      const ended = c.state.value(`job/${id}`) !== undefined;
+      assert.ok(
+        !ended || heard === final || heard === 503 || heard === 504,
+        `${id} is ${heard} at the old leader`,
+      );
+    }
+    assert.notEqual(await status(c, old, 'wk-9'), 404, 'accepted by another');
+    await c.clock.advance(500);
+  }
+  c.state.refusing.delete(old);
+  c.net.fate = () => 'deliver';
+  c.parted = new Set();
+  await c.clock.advance(12_000);
+  assert.equal(await status(c, old, 'wk-1'), 'aborted');
+  assert.equal(await status(c, old, 'wk-2'), 'done');
+  assert.equal(running(c, 'wk-1'), 0);
+});
