--- a/src/shards/mirror.ts
+++ b/src/shards/mirror.ts
@@ -20,7 +20,7 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly store: StateStore,
+    private readonly store: Pick<StateStore, 'list' | 'watch'>,
     private readonly prefix: string,
     private readonly log: Log,
     private readonly onChange: (key: string, entry: Entry | null) => void,
@@ -39,8 +39,10 @@
           if ('gone' in c) this.remove(c.key, c.version);
           else this.apply({ key: c.key, value: c.value, version: c.version });
         }
+        // Only with changes: an empty answer whose time was over while this node was refused says nothing of what it was not told.
+        if (result.changes.length === 0) continue;
         this.revision = Math.max(this.revision, result.revision);
-        if (result.changes.length > 0) await pause(this.clock, GATHER_MS);
+        await pause(this.clock, GATHER_MS);
       } catch (error) {
         this.log.debug({ error: String(error) }, 'watch failed');
         await pause(this.clock, RETRY_MS);
--- a/tests/meetings.test.ts
+++ b/tests/meetings.test.ts
@@ -2,7 +2,11 @@
 import { execFile } from 'node:child_process';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
+import pino from 'pino';
 import { nodeLease } from '../src/config/bounds.js';
+import { Mirror } from '../src/shards/mirror.js';
+import type { Change } from '../src/wire/state.js';
+import { FakeClock } from './support/clock.js';
 import { FakeCluster, job, STATE } from './support/cluster.js';
 
 const NODES = ['n0', 'n1', 'n2'];
@@ -401,3 +405,24 @@
   assert.equal(await status(c, old, 'wk-2'), 'done');
   assert.equal(running(c, 'wk-1'), 0);
 });
+
+// Guards against a copy of the keys that misses a change for good: a watch ended while its node was refused, with a revision of which
+// it had not told the changes, and a shard that nobody had was taken for somebody's.
+test('an empty answer to a watch does not move the copy of the keys on', async () => {
+  const clock = new FakeClock();
+  const asked: number[] = [];
+  const answers: Change[][] = [[], [{ key: 'c/own/0', gone: true, version: 9 }]];
+  const store = {
+    list: async () => ({ entries: [{ key: 'c/own/0', value: {}, version: 4 }], revision: 7 }),
+    watch: async (_under: string, since: number) => {
+      asked.push(since);
+      const changes = answers.shift();
+      return changes ? { revision: 20, changes } : new Promise<never>(() => undefined);
+    },
+  };
+  const mirror = new Mirror(clock, store, 'c/', pino({ level: 'silent' }), () => undefined);
+  void mirror.run();
+  await clock.advance(1000);
+  assert.deepEqual(asked, [7, 7, 20]);
+  assert.equal(mirror.entries.size, 0);
+});
