--- a/tests/support/meeting.ts
+++ b/tests/support/meeting.ts
@@ -119,9 +119,15 @@
       loaner: random.chance(0.7),
       expectedS: shape === 'standing' ? 0 : runS * random.between(0.6, 1.5),
       saveEveryS: random.pick([0, 10]),
-      ...(i > 2 && random.chance(0.2) && users.jobs.has('wk-1') ? { waitsOn: ['wk-1'] } : {}),
     });
-    c.clock.after(at * 1000, () => void users.submit(wire, runS));
+    const needs = random.chance(0.35) ? 1 + Math.floor(random.between(0, 2)) : 0;
+    c.clock.after(at * 1000, () => {
+      // Users name only what was accepted, and never services.
+      const known = [...users.jobs.values()].filter((j) => j.accepted && j.spec.kind !== 'service');
+      const waitsOn = known.slice(-needs).map((j) => j.spec.id);
+      const more = needs > 0 && waitsOn.length > 0 ? { waitsOn } : {};
+      void users.submit({ ...wire, ...more }, runS);
+    });
     if (!cancelled) continue;
     const edge = random.chance(0.6) ? random.pick(edges) + random.between(-2, 2) : at + random.between(2, 70);
     const again = (left: number): void => {
