--- a/tests/support/meeting.ts
+++ b/tests/support/meeting.ts
@@ -1,11 +1,11 @@
 import { Random } from '../../src/emulator/random.js';
 import { Tasks } from '../../src/emulator/tasks.js';
 import { checkHistory, type Violation } from '../../src/load/check.js';
+import { NODES } from './busy.js';
 import { FakeCluster, job } from './cluster.js';
 import { draw, type Trouble, Troubles } from './troubles.js';
 import { Users } from './users.js';
 
-const NODES = ['n0', 'n1', 'n2'];
 const CANCEL_S = 45;
 const LOOK_MS = 250;
 const BOOT_MS = 8000;
--- a/tests/support/troubles.ts
+++ b/tests/support/troubles.ts
@@ -1,3 +1,4 @@
+import { pause } from '../../src/clock/clock.js';
 import type { Random } from '../../src/emulator/random.js';
 import type { Worker } from '../../src/emulator/worker.js';
 import { type FakeCluster, STATE } from './cluster.js';
@@ -83,7 +84,7 @@
     c.net.peers.set(STATE, async (...request) => {
       const served = await state(...request);
       if (c.clock.now() < this.slowUntil && !request[1].startsWith('/watch'))
-        await this.pause(this.random.between(100, 1200));
+        await pause(c.clock, this.random.between(100, 1200));
       return served;
     });
   }
@@ -127,12 +128,6 @@
     }
   }
 
-  private pause(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.c.clock.after(ms, resolve);
-    });
-  }
-
   private begin(t: Trouble, ms: number): void {
     const undo = this.bring(t, ms);
     this.c.clock.after(ms, () => {
--- a/tests/support/users.ts
+++ b/tests/support/users.ts
@@ -1,3 +1,4 @@
+import { pause } from '../../src/clock/clock.js';
 import type { Random } from '../../src/emulator/random.js';
 import type { Tasks } from '../../src/emulator/tasks.js';
 import type { HttpReply } from '../../src/http/server.js';
@@ -49,7 +50,7 @@
     known.answeredAt = this.now;
     this.note(id, 'accepted');
     for (;;) {
-      await this.pause((known.over ? 3 : 1) * POLL_MS * this.random.between(0.2, 1.2));
+      await pause(this.c.clock, (known.over ? 3 : 1) * POLL_MS * this.random.between(0.2, 1.2));
       await this.poll(known);
     }
   }
@@ -103,12 +104,6 @@
     return this.c.clock.now();
   }
 
-  private pause(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.c.clock.after(ms, resolve);
-    });
-  }
-
   private note(job: string, kind: UserEvent['kind']): void {
     this.events.push({ at: this.now, job, kind });
   }
@@ -123,7 +118,7 @@
     while (this.now < until) {
       const r = await this.call('POST', path, body, SUBMIT_MS);
       if (r && good(r)) return r;
-      await this.pause(1000 + 500 * this.random.next());
+      await pause(this.c.clock, 1000 + 500 * this.random.next());
     }
     return null;
   }
