One at a time decides about a job; what is known is told at once, or by whoever owns it

Cause: a submission of a known job waited for the job's mutex, seconds behind a write, and was then answered from memory without asking again whether the shard was still this node's: another had confirmed the cancellation. The mutex was dropped at a refusal and at the end while others waited for it, so that two decided side by side. A list showed jobs whose end may be stored.

Change: JobTable.exclusive keeps a mutex as long as somebody holds it or waits for it; known jobs are answered before it, and ownership is asked after it; the list leaves out what may be over. Rentals: a record that cannot be written is tried on until each machine has one, the rental pending meanwhile, and is no failure of the cloud.

Tests: users look at all nodes within milliseconds and submit and cancel again, judged by what they had heard when a request was sent; new troubles; checker: starts ordered after a confirmed cancellation, unfit acceptances, jobs left waiting for 90 s.

--- a/src/emulator/tasks.ts
+++ b/src/emulator/tasks.ts
@@ -73,6 +73,8 @@
 /** What tasks do on the workers of one cluster: images, run times, checkpoints, gangs. */
 export class Tasks implements Runtime {
   readonly history: TaskEvent[] = [];
+  /** Sees each of them as it comes. */
+  noted: ((e: TaskEvent) => void) | null = null;
   /** Machines on which every task fails. */
   readonly faulty = new Set<string>();
   /** Tasks that ran to their end more than once. */
@@ -374,17 +376,8 @@
     const { id, type, zone, spot } = run.worker.place;
     const { job, index, attempt } = run.a;
     const at = this.clock.now();
-    this.history.push({
-      at,
-      kind,
-      machine: id,
-      type,
-      zone,
-      spot,
-      job,
-      index,
-      attempt,
-      ...(cause && { cause }),
-    });
+    const e = { at, kind, machine: id, type, zone, spot, job, index, attempt, ...(cause && { cause }) };
+    this.history.push(e);
+    this.noted?.(e);
   }
 }
--- a/src/load/check.ts
+++ b/src/load/check.ts
@@ -7,6 +7,13 @@
   job: string;
   kind: 'submitted' | 'accepted' | 'refused' | 'told' | 'unknown' | 'cancel asked' | 'cancelled';
   status?: JobView['status'];
+  /**
+   * How many of these events there were when the request was sent that this one answers. What was heard after that may have
+   * crossed with it; what was heard before it must not be older than. Without it, what was heard before this one counts.
+   */
+  asked?: number;
+  /** Why the job that was accepted never should have been. */
+  unfit?: string;
 }
 
 export interface Violation {
@@ -18,6 +25,13 @@
 export interface Limits {
   teams: readonly { name: string; cpusMax: number; gpusMax: number }[];
   cancelS: number;
+  /** When the order to start an attempt was sent, by `startName`, where that was seen. */
+  ordered?: ReadonlyMap<string, number>;
+}
+
+/** Names a start of a task on a machine. */
+export function startName(machine: string, job: string, index: number, attempt: number): string {
+  return `${machine} ${job}/${index}#${attempt}`;
 }
 
 const SLACK = 1e-6;
@@ -117,6 +131,14 @@
         );
       continue;
     }
+    const cancelledAt = cancelled.get(e.job);
+    const orderedAt = limits.ordered?.get(startName(e.machine, e.job, e.index, e.attempt));
+    if (cancelledAt !== undefined && orderedAt !== undefined && orderedAt > cancelledAt)
+      broken(
+        'started_cancelled',
+        e.at,
+        `${task} was told to start after its user was told that it is cancelled`,
+      );
     const elsewhere = places.find((p) => p.machine !== e.machine);
     if (elsewhere)
       broken('ran_twice', e.at, `${task} starts on ${e.machine} while it is on ${elsewhere.machine}`);
@@ -157,14 +179,17 @@
   limits: Limits,
   broken: Report,
 ): void {
-  const accepted = new Set<string>();
-  const final = new Map<string, string>();
-  const asked = new Set<string>();
-  for (const e of told) {
+  // What was heard of each job first, and as which of the events.
+  const accepted = new Map<string, number>();
+  const final = new Map<string, { status: string; heard: number }>();
+  const wanted = new Set<string>();
+  for (const [i, e] of told.entries()) {
     const spec = jobs.get(e.job);
-    if (e.kind === 'cancel asked') asked.add(e.job);
-    if (e.kind === 'accepted') accepted.add(e.job);
-    if (accepted.has(e.job) && (e.kind === 'unknown' || e.kind === 'refused'))
+    const asked = e.asked ?? i;
+    if (e.unfit !== undefined) broken('accepted_unfit', e.at, `${e.job} was accepted: ${e.unfit}`);
+    if (e.kind === 'cancel asked') wanted.add(e.job);
+    if (e.kind === 'accepted' && !accepted.has(e.job)) accepted.set(e.job, i);
+    if ((accepted.get(e.job) ?? asked) < asked && (e.kind === 'unknown' || e.kind === 'refused'))
       broken('forgotten', e.at, `${e.job} was accepted and is ${e.kind}`);
     const status = e.kind === 'cancelled' ? 'cancelled' : e.kind === 'told' ? e.status : undefined;
     if (status === undefined) continue;
@@ -172,20 +197,92 @@
       broken('invented', e.at, `${e.job} is called ${status}, and nobody submitted it`);
       continue;
     }
+    const over = status === 'done' || status === 'cancelled';
     const before = final.get(e.job);
-    if (before !== undefined && before !== status)
-      broken('went_back', e.at, `${e.job} was ${before} and is called ${status}`);
-    const needed = spec.after.some((id) => cancelled.has(id) || asked.has(id));
-    if (status === 'cancelled' && !asked.has(e.job) && !needed)
+    if (before && before.status !== status && (over || before.heard < asked))
+      broken('went_back', e.at, `${e.job} was ${before.status} and is called ${status}`);
+    const needed = spec.after.some((id) => cancelled.has(id) || wanted.has(id));
+    if (status === 'cancelled' && !wanted.has(e.job) && !needed)
       broken('went_back', e.at, `${e.job} is called cancelled, and nobody asked for that`);
     if (status === 'done' && !((done.get(e.job) ?? Number.POSITIVE_INFINITY) <= e.at + TOLERANCE_MS))
       broken('not_done', e.at, `${e.job} is called done before all its tasks are`);
-    if (status === 'done' || status === 'cancelled') final.set(e.job, status);
-    else
+    if (over) {
+      if (!before) final.set(e.job, { status, heard: i });
+    } else
       for (const id of spec.after) {
-        const over = cancelled.get(id);
-        if (over !== undefined && e.at > over + limits.cancelS * 1000)
+        const at = cancelled.get(id);
+        if (at !== undefined && e.at > at + limits.cancelS * 1000)
           broken('orphaned', e.at, `${e.job} is called ${status} long after ${id} was cancelled`);
       }
   }
 }
+
+/** What a machine has left, and what kind it is. */
+export interface RoomOn {
+  type: string;
+  zone: string;
+  spot: boolean;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** A job of which no task is on a machine, though some are open and nothing that it needs is. */
+export interface Waits {
+  spec: JobSpec;
+  /** What its team may still use; null without a limit. */
+  leftCpus: number | null;
+  leftGpus: number | null;
+}
+
+const LEFT_WAITING_MS = 90_000;
+
+/** Finds jobs that wait on although there is room for them, all troubles over: once for each. */
+export class LeftWaiting {
+  private readonly since = new Map<string, number>();
+  private readonly told = new Set<string>();
+
+  /** `at` in milliseconds; to be called every second at least. */
+  look(at: number, machines: readonly RoomOn[], waiting: readonly Waits[]): Violation[] {
+    const found: Violation[] = [];
+    const fit = new Set(waiting.filter((w) => hasRoom(w, machines)).map((w) => w.spec.id));
+    for (const id of [...this.since.keys()]) if (!fit.has(id)) this.since.delete(id);
+    for (const id of fit) {
+      const since = this.since.get(id) ?? at;
+      this.since.set(id, since);
+      if (at - since <= LEFT_WAITING_MS || this.told.has(id)) continue;
+      this.told.add(id);
+      found.push({
+        rule: 'left_waiting',
+        at,
+        what: `${id} waits although there has been room for it since ${since}`,
+      });
+    }
+    return found;
+  }
+}
+
+/** Whether a task of an array, or a whole gang or service, fits on machines now and into its team's limit. */
+function hasRoom({ spec, leftCpus, leftGpus }: Waits, machines: readonly RoomOn[]): boolean {
+  const tasks = spec.kind === 'array' ? 1 : spec.tasks;
+  if (leftCpus !== null && tasks * spec.cpus > leftCpus + SLACK) return false;
+  if (leftGpus !== null && tasks * spec.gpus > leftGpus + SLACK) return false;
+  const byZone = new Map<string, number>();
+  for (const m of machines) {
+    if (spec.types && !spec.types.includes(m.type)) continue;
+    if ((spec.zone !== null && spec.zone !== m.zone) || (m.spot && !spec.spot)) continue;
+    let n = 0;
+    while (n < tasks && fits(spec, m, n + 1)) n++;
+    const zone = spec.oneZone ? m.zone : '';
+    byZone.set(zone, (byZone.get(zone) ?? 0) + n);
+  }
+  return [...byZone.values()].some((n) => n >= tasks);
+}
+
+function fits(spec: JobSpec, m: RoomOn, times: number): boolean {
+  return (
+    spec.cpus * times <= m.cpus + SLACK &&
+    spec.gpus * times <= m.gpus + SLACK &&
+    spec.memoryGb * times <= m.memoryGb + SLACK
+  );
+}
--- a/src/shard/progress.ts
+++ b/src/shard/progress.ts
@@ -190,7 +190,7 @@
     try {
       while (unfinished() && this.world.clock.now() < job.storeAfter)
         await pause(this.world.clock, GATHER_STEP_MS);
-      await this.table.mutex(job.spec.id).runExclusive(async () => {
+      await this.table.exclusive(job.spec.id, async () => {
         if (this.hooks.stopped() || job.state !== 'active' || job.stored >= job.done.count) return;
         try {
           if (job.done.count === job.spec.tasks) this.end(job, await this.records.finish(job, 'done'));
--- a/src/shard/questions.ts
+++ b/src/shard/questions.ts
@@ -1,8 +1,8 @@
 import type { Log } from '../config/log.js';
-import type { Job, JobEntry } from '../jobs/job.js';
+import { type Job, type JobEntry, jobStatus } from '../jobs/job.js';
 import { type JobRecords, NotOwner } from '../jobs/records.js';
 import { waits } from '../jobs/standing.js';
-import type { JobSpec } from '../wire/users.js';
+import type { JobSpec, ListedJob } from '../wire/users.js';
 import type { World } from '../world/world.js';
 import { NOT_READY, OwnerAway, type StatusAnswer, type SubmitAnswer, Unavailable } from './answers.js';
 import type { Planner } from './planner.js';
@@ -50,13 +50,18 @@
 
   async submit(spec: JobSpec): Promise<SubmitAnswer> {
     this.check();
+    // What is known is told at once: behind a write under way it would be told when it may be another's to tell.
+    const told = this.known(spec.id);
+    if (told) return told;
     // More submissions than the state service takes are told at once to come back: waiting here until their users have
     // given up, they would be stored for nobody, and sent once more.
-    if (!this.table.known(spec.id) && this.world.store.delayMs > ACCEPT_WAIT_MS)
+    if (this.world.store.delayMs > ACCEPT_WAIT_MS)
       return { kind: 'busy', retryS: this.turns.take(this.world.store.changesPerSecond * JOBS_PER_CHANGE) };
-    return this.table.mutex(spec.id).runExclusive(async (): Promise<SubmitAnswer> => {
-      const known = this.table.known(spec.id);
-      if (known) return { kind: 'known', status: this.tellable(spec.id, known).status };
+    return this.table.exclusive(spec.id, async (): Promise<SubmitAnswer> => {
+      // Who went before may have taken seconds: the shard may be another's by now, which has told what is not known here.
+      this.check();
+      const known = this.known(spec.id);
+      if (known) return known;
       const needs = await this.waiting.openOf(spec);
       if ('never' in needs) return { kind: 'never', needs: needs.never };
       this.check();
@@ -67,7 +72,6 @@
       if (finish === null) {
         const entry = await this.records.entry(spec.id);
         if (entry) return this.repeated(spec.id, entry);
-        this.table.forgetMutex(spec.id);
         return { kind: 'refused', retryS: 3 };
       }
       const deadline = Math.round(wall + finish * 1000);
@@ -78,8 +82,8 @@
       this.check();
       // Somebody who asked for the job while its acceptance was under way may have had it loaded, and tasks of it may
       // run by now: a second copy in its place would know nothing of them and start them again.
-      const recalled = this.table.known(spec.id);
-      if (recalled) return { kind: 'known', status: this.tellable(spec.id, recalled).status };
+      const recalled = this.known(spec.id);
+      if (recalled) return recalled;
       trial.version = accepted.version;
       trial.partsUnder = accepted.partsUnder;
       trial.deadlineWall = deadline;
@@ -104,6 +108,12 @@
     });
   }
 
+  /** What is told of a job that is submitted again; null when it is in no memory. */
+  private known(id: string): SubmitAnswer | null {
+    const answer = this.table.known(id);
+    return answer && { kind: 'known', status: this.tellable(id, answer).status };
+  }
+
   private async repeated(id: string, entry: JobEntry): Promise<SubmitAnswer> {
     if (entry.final) return { kind: 'known', status: entry.final };
     if (entry.shard !== this.index) {
@@ -147,6 +157,22 @@
     return answer && this.tellable(id, answer);
   }
 
+  /** Unfinished jobs after an id, in the order of ids; without those whose end may be stored by now. */
+  list(under: string, after: string, most: number): ListedJob[] {
+    this.check();
+    return [...this.table.jobs.values()]
+      .filter(({ spec: { id }, ending }) => !ending && id > after && id.startsWith(under))
+      .sort((a, b) => (a.spec.id < b.spec.id ? -1 : 1))
+      .slice(0, most)
+      .map((job) => ({
+        id: job.spec.id,
+        ...jobStatus(job),
+        team: job.spec.team,
+        class: job.spec.class,
+        tasks: job.spec.tasks,
+      }));
+  }
+
   /**
    * Nothing is told that may be wrong: of a job that may have to be cancelled with one that it needs, or whose end may be stored
    * by now, so that another node has told it. What the state service has is told instead.
@@ -164,7 +190,7 @@
     const job = this.table.jobs.get(id);
     if (job) {
       this.progress.unwant(job);
-      await this.table.mutex(id).runExclusive(async () => {
+      await this.table.exclusive(id, async () => {
         if (job.state !== 'active') return;
         this.check();
         this.progress.end(job, await this.catchLoss(this.records.finish(job, 'cancelled')));
@@ -185,8 +211,7 @@
       if (this.ending.size >= DOOMED_AT_ONCE) return;
       this.ending.add(job);
       void this.table
-        .mutex(job.spec.id)
-        .runExclusive(async () => {
+        .exclusive(job.spec.id, async () => {
           if (job.state !== 'active' || !this.hooks.entitled()) return;
           this.progress.end(job, await this.catchLoss(this.records.finish(job, 'cancelled')));
         })
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -2,7 +2,7 @@
 import { pause } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
 import { partSockets } from '../config/settings.js';
-import { type Job, jobStatus, openCount } from '../jobs/job.js';
+import { type Job, openCount } from '../jobs/job.js';
 import { JobRecords, type LoadedJob, NotOwner } from '../jobs/records.js';
 import { KEYS, type MachineRecord, readMachineRecord } from '../keys/keys.js';
 import { mayDecide } from '../standby/checks.js';
@@ -430,18 +430,7 @@
 
   /** The first unfinished jobs after an id that begin with `under`, in the order of ids. */
   list(under: string, after: string, most: number): ListedJob[] {
-    this.questions.check();
-    return [...this.table.jobs.values()]
-      .filter(({ spec: { id } }) => id > after && id.startsWith(under))
-      .sort((a, b) => (a.spec.id < b.spec.id ? -1 : 1))
-      .slice(0, most)
-      .map((job) => ({
-        id: job.spec.id,
-        ...jobStatus(job),
-        team: job.spec.team,
-        class: job.spec.class,
-        tasks: job.spec.tasks,
-      }));
+    return this.questions.list(under, after, most);
   }
 
   /** Another shard needs jobs of this one. */
--- a/src/shard/table.ts
+++ b/src/shard/table.ts
@@ -19,7 +19,7 @@
 export class JobTable {
   readonly jobs = new Map<string, Job>();
   private readonly ended = new Map<string, Ended>();
-  private readonly mutexes = new Map<string, Mutex>();
+  private readonly mutexes = new Map<string, { mutex: Mutex; users: number }>();
   /** What a task of each class takes, as last seen. */
   readonly needs = new Map<string, Amounts>();
   private order = 0;
@@ -46,19 +46,19 @@
     );
   }
 
-  /** Acceptance, completion and cancellation of one job go one after the other. */
-  mutex(id: string): Mutex {
-    let m = this.mutexes.get(id);
-    if (!m) {
-      m = new Mutex();
-      this.mutexes.set(id, m);
+  /**
+   * Acceptance, completion and cancellation of one job go one after the other. The mutex of a job goes with the last that holds it or
+   * waits for it: dropped earlier, one that comes then would get another, and two of one job would go side by side.
+   */
+  async exclusive<T>(id: string, work: () => Promise<T>): Promise<T> {
+    const entry = this.mutexes.get(id) ?? { mutex: new Mutex(), users: 0 };
+    this.mutexes.set(id, entry);
+    entry.users++;
+    try {
+      return await entry.mutex.runExclusive(work);
+    } finally {
+      if (--entry.users === 0) this.mutexes.delete(id);
     }
-    return m;
-  }
-
-  /** A submission that came to nothing leaves nothing behind. */
-  forgetMutex(id: string): void {
-    this.mutexes.delete(id);
   }
 
   endedAs(id: string): 'done' | 'cancelled' | null {
@@ -78,7 +78,6 @@
     job.stored = job.done.count;
     const id = job.spec.id;
     this.jobs.delete(id);
-    this.mutexes.delete(id);
     this.ended.set(id, { status, tasks: job.spec.tasks, team: job.team, need: job.need });
     for (const old of this.ended.keys()) {
       if (this.ended.size <= ENDED_KEPT) break;
--- a/src/supply/supply.ts
+++ b/src/supply/supply.ts
@@ -9,7 +9,7 @@
 import { type Amounts, fitCount } from '../plan/profile.js';
 import { chooseRentals, type RentOption, type Shortage } from '../plan/rent.js';
 import { StateFailure } from '../state/store.js';
-import { RELEASE_LIMIT, RENT_LIMIT } from '../wire/cloud.js';
+import { RELEASE_LIMIT, RENT_LIMIT, type Rental } from '../wire/cloud.js';
 import type { Condition, Entry } from '../wire/state.js';
 import type { Fleet } from '../workers/fleet.js';
 import { type Machine, SICK_ERRORS } from '../workers/machine.js';
@@ -40,6 +40,8 @@
  */
 const OVERDUE_BOOTS = 2.5;
 const SILENT_RETURN_MS = 120_000;
+/** Rented machines that could not be recorded are tried again after this. */
+const ENTER_AGAIN_MS = 1000;
 /** Records of machines that go into one transaction, so that it stays well below the largest request. */
 const TXN_MACHINES = 24;
 const MAX_PENDING_RENTALS = 6;
@@ -205,29 +207,36 @@
     this.rentals.add(pending);
     const key = kindKey(option.type, option.zone, option.spot);
     try {
-      while (!this.hooks.stopped()) {
-        try {
-          const rented = await this.world.cloud.rent(request);
-          this.cloudPause = { until: 0, pause: 0 };
-          this.noteCapacity(key, rented?.length === count);
-          this.log[rented ? 'info' : 'debug']({ ...request, rented }, 'rental');
-          if (rented) await this.enter(rented, request, pending.at);
-          return;
-        } catch (error) {
-          this.log.info({ ...request, error: String(error) }, 'rental failed');
-          const wait = Math.min(CLOUD_PAUSE_MOST_MS, Math.max(CLOUD_PAUSE_MS, this.cloudPause.pause * 2));
-          this.cloudPause = { until: this.world.clock.now() + wait, pause: wait };
-          await pause(this.world.clock, wait);
-          // After an outage, what was wanted is planned anew; the same request is only repeated while it may have worked.
-          if (!(error instanceof CloudFailure) || !error.maybe) return;
-        }
-      }
+      const rented = await this.rentFrom(request);
+      if (rented === 'failed') return;
+      this.noteCapacity(key, rented?.length === count);
+      this.log[rented ? 'info' : 'debug']({ ...request, rented }, 'rental');
+      if (rented) await this.enter(rented, request, pending.at);
     } finally {
       this.rentals.delete(pending);
       this.hooks.stir();
     }
   }
 
+  /** What the cloud rents; null when it has none of them. A request without an answer is repeated, since it may have been executed. */
+  private async rentFrom(request: Rental): Promise<string[] | null | 'failed'> {
+    while (!this.hooks.stopped()) {
+      try {
+        const rented = await this.world.cloud.rent(request);
+        this.cloudPause = { until: 0, pause: 0 };
+        return rented;
+      } catch (error) {
+        this.log.info({ ...request, error: String(error) }, 'rental failed');
+        const wait = Math.min(CLOUD_PAUSE_MOST_MS, Math.max(CLOUD_PAUSE_MS, this.cloudPause.pause * 2));
+        this.cloudPause = { until: this.world.clock.now() + wait, pause: wait };
+        await pause(this.world.clock, wait);
+        // After an outage, what was wanted is planned anew; the same request is only repeated while it may have worked.
+        if (!(error instanceof CloudFailure) || !error.maybe) break;
+      }
+    }
+    return 'failed';
+  }
+
   private noteCapacity(key: string, plenty: boolean): void {
     if (plenty) {
       this.blocked.delete(key);
@@ -243,33 +252,43 @@
     this.blocked.set(key, { until: this.world.clock.now() + pause, pause });
   }
 
-  /** Records rented machines as this shard's; those that cannot be recorded come back as strays. */
-  private async enter(
-    ids: string[],
-    r: { type: string; zone: string; spot: boolean },
-    at: number,
-  ): Promise<void> {
-    const per = Math.max(1, this.world.settings.stateLimits.txnOps);
+  /**
+   * Records rented machines as this shard's, until each has a record. A write without an answer may have been made, or be made
+   * later; until that is known the rental is pending, so that nothing is rented in its place, and is no failure of the cloud. A
+   * machine that has a record already is this shard's by such a write, or another's: it was up, and the leader dealt it out.
+   */
+  private async enter(ids: string[], r: Omit<Rental, 'request' | 'count'>, at: number): Promise<void> {
+    const { type, zone, spot } = r;
     const rentedAt = Math.round(this.world.clock.wall() - (this.world.clock.now() - at));
-    for (let i = 0; i < ids.length; i += per) {
-      const part = ids.slice(i, i + per);
-      const value = (): MachineRecord => ({
-        shard: this.index,
-        addr: '',
-        type: r.type,
-        zone: r.zone,
-        spot: r.spot,
-        state: 'use',
-        rentedAt,
-      });
+    const value: MachineRecord = { shard: this.index, addr: '', type, zone, spot, state: 'use', rentedAt };
+    for (const part of this.inTxns(ids)) {
+      let left = part;
+      while (left.length > 0 && !this.hooks.stopped()) left = await this.enterSome(left, value);
+    }
+  }
+
+  /** One try to record machines that have no record; returns those that still have none, as far as is known. */
+  private async enterSome(ids: string[], value: MachineRecord): Promise<string[]> {
+    try {
       const result = await this.world.store.txn(
-        [this.owned, ...part.map((id) => ({ key: KEYS.machine(id), version: 0 }))],
-        part.map((id) => ({ put: KEYS.machine(id), value: value() })),
+        [this.owned, ...ids.map((id) => ({ key: KEYS.machine(id), version: 0 }))],
+        ids.map((id) => ({ put: KEYS.machine(id), value })),
       );
-      if (!result.ok) continue;
-      for (const id of part) {
-        this.hooks.recorded(id, { key: KEYS.machine(id), value: value(), version: result.revision });
+      if (result.ok) {
+        for (const id of ids)
+          this.hooks.recorded(id, { key: KEYS.machine(id), value: { ...value }, version: result.revision });
+        return [];
       }
+      if (result.failed.includes(this.owned.key)) {
+        this.hooks.lostOwnership();
+        return [];
+      }
+      return ids.filter((id) => !result.failed.includes(KEYS.machine(id)));
+    } catch (error) {
+      if (!(error instanceof StateFailure)) throw error;
+      this.log.info({ machines: ids.length, error: error.message }, 'rented machines not recorded yet');
+      await pause(this.world.clock, ENTER_AGAIN_MS);
+      return ids;
     }
   }
 
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -31,13 +31,13 @@
   still: { value: boolean; queue: (() => void)[] };
 }
 
-function settings(name: string, names: string[]): Settings {
+function settings(name: string, names: string[], zoneOf: (node: string) => string): Settings {
   return {
     node: name,
-    zone: 'a',
+    zone: zoneOf(name),
     listen: { host: '127.0.0.1', port: 1 },
     peerListen: { host: '127.0.0.1', port: 2 },
-    peers: names.filter((n) => n !== name).map((n) => ({ node: n, zone: 'a', addr: n })),
+    peers: names.filter((n) => n !== name).map((n) => ({ node: n, zone: zoneOf(n), addr: n })),
     cloud: CLOUD,
     state: STATE,
     nodes: names.length,
@@ -80,6 +80,12 @@
   private readonly deafUntil = new Map<Worker, number>();
   /** Nodes that reach no other controller, and are reached by none. */
   parted: ReadonlySet<string> = new Set();
+  /** Zones of nodes that are not in `a`. */
+  readonly zones = new Map<string, string>();
+  /** A zone that is cut off from everything, with its nodes and workers; inside it all goes on. */
+  cutZone: string | null = null;
+  /** Workers that reach no node, while orders reach them. */
+  readonly mute = new Set<Worker>();
   /** Nodes that no worker reaches, while all else does. */
   readonly cutFromWorkers = new Set<string>();
   capacity = false;
@@ -116,9 +122,29 @@
       if (rental) this.rented.push(rental);
       return this.cloud.serve(m, p, b);
     });
+    this.net.apart = (from, addr) =>
+      this.cutZone !== null && this.isApart(this.zoneOf(from), this.zoneAt(addr));
     this.reportLoop();
   }
 
+  private zoneOf(node: string): string {
+    return this.zones.get(node) ?? 'a';
+  }
+
+  /** The zone of the worker at an address; the services are in none. */
+  private zoneAt(addr: string): string | null {
+    return this.workers.find((w) => w.place.addr === addr)?.place.zone ?? null;
+  }
+
+  private isApart(one: string | null, other: string | null): boolean {
+    return this.cutZone !== null && (one === this.cutZone) !== (other === this.cutZone);
+  }
+
+  /** Whether a node is cut off together with its zone. */
+  zoneIsCut(node: string): boolean {
+    return this.cutZone === this.zoneOf(node);
+  }
+
   addWorker(type: string, zone: string, spot = false): Worker {
     const n = ++this.made;
     const id = `m-${String(n).padStart(6, '0')}`;
@@ -135,7 +161,7 @@
     const http = this.net.requester(name);
     const names = new Names();
     const s = {
-      ...settings(name, this.names),
+      ...settings(name, this.names, (n) => this.zoneOf(n)),
       objectives: this.objectives,
       teams: this.teams,
       stateLimits: this.stateLimits,
@@ -271,7 +297,7 @@
         const target = this.nodes.get(to);
         this.sent.push({ from, to, op });
         if (!target || target.cut || running.cut || target.still.value) throw new Error('not connected');
-        if (this.parted.has(to) || this.parted.has(from)) throw new Error('not connected');
+        if (this.nodesApart(from, to)) throw new Error('not connected');
         if (this.refused.has(to)) throw new Error('refused');
         if (this.lostMessages.has(op)) throw new Error('no answer');
         // A node that is killed meanwhile never answers.
@@ -287,18 +313,23 @@
         const target = this.nodes.get(to);
         if (!target || target.cut || running.cut || running.stopped.value || target.still.value) return;
         if (this.lostMessages.has(op) || this.refused.has(to)) return;
-        if (this.parted.has(to) || this.parted.has(from)) return;
+        if (this.nodesApart(from, to)) return;
         void target.node.serve(op, JSON.parse(JSON.stringify(args)), from).catch(() => from);
       },
       refused: (to) => !this.nodes.has(to) || this.refused.has(to),
       connected: (to) => {
         const target = this.nodes.get(to);
-        if (this.parted.has(to) || this.parted.has(from)) return false;
+        if (this.nodesApart(from, to)) return false;
         return target !== undefined && !target.cut && !running.cut && !this.refused.has(to);
       },
     };
   }
 
+  private nodesApart(one: string, other: string): boolean {
+    if (this.parted.has(one) || this.parted.has(other)) return true;
+    return this.isApart(this.zoneOf(one), this.zoneOf(other));
+  }
+
   private reportLoop(): void {
     for (const w of this.workers) if (!this.silent.has(w)) this.reportOnce(w);
     this.clock.after(1000, () => this.reportLoop());
@@ -314,7 +345,8 @@
       if (sent < (this.deafUntil.get(w) ?? 0)) return;
       this.deafUntil.set(w, sent + 5000);
     }
-    if (!running || running.cut || this.cutFromWorkers.has(at)) {
+    const unreached = this.mute.has(w) || this.isApart(w.place.zone, this.zoneOf(at));
+    if (!running || running.cut || unreached || this.cutFromWorkers.has(at)) {
       this.reportsTo.set(w, next);
       return;
     }
--- a/tests/support/net.ts
+++ b/tests/support/net.ts
@@ -16,6 +16,9 @@
   readonly held: { addr: string; method: string; path: string; body: unknown; from: string }[] = [];
   fate: (from: string, addr: string, method: string, path: string, body: unknown) => Fate = () => 'deliver';
 
+  /** Between whom nothing passes, whatever their fate is. */
+  apart: (from: string, addr: string) => boolean = () => false;
+
   constructor(private readonly clock: Clock) {}
 
   requester(from: string): Requester {
@@ -39,7 +42,7 @@
     timeoutMs: number,
   ): Promise<HttpAnswer> {
     const copy: unknown = body === null ? null : JSON.parse(JSON.stringify(body));
-    const fate = this.fate(from, addr, method, path, copy);
+    const fate = this.apart(from, addr) ? 'silent' : this.fate(from, addr, method, path, copy);
     const peer = this.peers.get(addr);
     if (fate === 'refuse' || !peer) throw new HttpFailure('refused', false);
     if (fate === 'hold') this.held.push({ addr, method, path, body: copy, from });
--- a/tests/support/troubles.ts
+++ b/tests/support/troubles.ts
@@ -3,6 +3,7 @@
 import type { Worker } from '../../src/emulator/worker.js';
 import { type FakeCluster, STATE } from './cluster.js';
 import type { Fate } from './net.js';
+import type { Users } from './users.js';
 
 /** A trouble that is to come; times in seconds, `share` of what it concerns. */
 export interface Trouble {
@@ -33,6 +34,14 @@
   crash: 7,
   'crash of all': 7,
   roll: 20,
+  mute: 30,
+  'reports for the next leader': 45,
+  'zone cut': 35,
+  'called off at once': 25,
+  'called off at the end': 40,
+  'odd requests': 30,
+  'up at once': 40,
+  'ten leaders': 120,
 } as const;
 export type Kind = keyof typeof MOST_S;
 export const KINDS = Object.keys(MOST_S) as Kind[];
@@ -56,17 +65,57 @@
 
 const round = (x: number) => Math.round(x * 100) / 100;
 
+/** Reads a trouble as `KIND@AT+FOR*SHARE`, times in seconds; a string says what is wrong with it. */
+export function readTrouble(text: string): Trouble | string {
+  const m = /^([a-z ]+)@(\d+(?:\.\d+)?)\+(\d+(?:\.\d+)?)\*(\d+(?:\.\d+)?)$/.exec(text);
+  if (!m) return 'not KIND@AT+FOR*SHARE';
+  const [kind, atS, forS, share] = [m[1] as Kind, Number(m[2]), Number(m[3]), Number(m[4])];
+  if (!KINDS.includes(kind)) return `kind is none of ${KINDS.join(', ')}`;
+  if (forS > MOST_S[kind]) return `lasts ${MOST_S[kind]} s at the most`;
+  return share > 1 ? 'a share is 1 at the most' : { kind, atS, forS, share };
+}
+
+const LOST_MOST = 3;
+
+/** Loses the answers to the first transactions that write a key with this beginning; they are carried out at once. */
+export function losing(key: string): {
+  fate: (from: string, addr: string, method: string, path: string, body: unknown) => Fate | null;
+  count: () => number;
+} {
+  let lost = 0;
+  return {
+    count: () => lost,
+    fate: (_from, addr, _method, path, body) => {
+      if (addr !== STATE || path !== '/txn' || lost >= LOST_MOST) return null;
+      const { writes } = body as { writes: { set?: string; drop?: string }[] };
+      if (!writes.some((w) => (w.set ?? w.drop ?? '').startsWith(key))) return null;
+      lost++;
+      return 'lost-answer';
+    },
+  };
+}
+
 /** A trouble in words, for who has to find its cause. */
 export function describe(t: Trouble): string {
   return `from ${t.atS} s for ${t.forS} s: ${t.kind}, share ${t.share}`;
 }
 
+const SLOW_BOOT_MS = 8000;
+/** So many machines of jobs that are called off hang at the most. */
+const HANG_MOST = 8;
+const LEADERS = 10;
+const WATCH_MS = 50;
+
 /** Brings troubles about on a scripted cluster, and ends them. */
 export class Troubles {
   private readonly writes = new Set<Trouble>();
   private readonly answers = new Set<Trouble>();
   private readonly orders = new Set<Trouble>();
   private readonly reports = new Set<Trouble>();
+  private readonly forNext = new Set<Trouble>();
+  /** Of each machine a report that is kept for the next leader. */
+  private readonly kept = new Map<string, object>();
+  private readonly quick = new Set<Trouble>();
   private readonly noState = new Set<string>();
   private readonly apart = new Set<string>();
   private readonly hangUntil = new Map<string, number>();
@@ -77,6 +126,7 @@
     private readonly c: FakeCluster,
     private readonly names: readonly string[],
     private readonly random: Random,
+    private readonly users: Users,
   ) {
     c.net.fate = (from, addr, _method, path) => this.fate(from, addr, path);
     c.reported = (report) => this.copy(report);
@@ -93,6 +143,11 @@
     return this.open === 0;
   }
 
+  /** How long a machine that is rented now takes to be up. */
+  get bootMs(): number {
+    return this.quick.size > 0 ? this.random.between(200, 2000) : SLOW_BOOT_MS;
+  }
+
   plan(all: readonly Trouble[]): void {
     for (const t of all) {
       this.open++;
@@ -118,6 +173,8 @@
   }
 
   private copy(report: object): void {
+    const id = (report as { worker: string }).worker;
+    if (this.forNext.size > 0 && !this.kept.has(id)) this.kept.set(id, JSON.parse(JSON.stringify(report)));
     for (const t of this.reports) {
       if (!this.random.chance(t.share * 0.4)) continue;
       const late = JSON.parse(JSON.stringify(report)) as object;
@@ -128,6 +185,26 @@
     }
   }
 
+  /** Gives what was kept of reports to every node as soon as a shard or the leadership has a new holder, and once more a second later. */
+  private giveKept(terms: string): void {
+    const now = ['c/lead', ...this.names.map((_, k) => `c/own/${k}`)].map(
+      (key) => this.c.state.items.get(key)?.version,
+    );
+    const gone = terms !== '' && now.join() !== terms && !now.includes(undefined);
+    if (gone) {
+      const kept = [...this.kept.values()];
+      this.kept.clear();
+      for (const ms of [0, 1000])
+        this.c.clock.after(ms, () => {
+          for (const report of kept)
+            for (const { api } of this.c.nodes.values())
+              void api.handle(this.c.request('POST', '/v1/report', report));
+        });
+    }
+    if (this.kept.size > 0 || this.forNext.size > 0)
+      this.c.clock.after(WATCH_MS, () => this.giveKept(terms === '' || gone ? now.join() : terms));
+  }
+
   private begin(t: Trouble, ms: number): void {
     const undo = this.bring(t, ms);
     this.c.clock.after(ms, () => {
@@ -167,6 +244,15 @@
         this.apart.delete(node);
       };
     };
+    const hang = (some: readonly Worker[]) => {
+      for (const w of some) {
+        c.silent.add(w);
+        this.hangUntil.set(w.place.addr, c.clock.now() + ms);
+      }
+      return () => {
+        for (const w of some) c.silent.delete(w);
+      };
+    };
     switch (t.kind) {
       case 'late writes':
         return during(this.writes);
@@ -194,16 +280,40 @@
           for (const w of some) c.deaf.delete(w);
         };
       }
-      case 'hang': {
+      case 'hang':
+        return hang(this.some(t.share));
+      case 'called off at once':
+        return hang(this.users.cancelNow(t.share).slice(0, this.random.chance(0.5) ? HANG_MOST : 0));
+      case 'called off at the end':
+        return this.users.cancelAtEnd(t.share);
+      case 'odd requests':
+        return this.users.odd();
+      case 'up at once':
+        return during(this.quick);
+      case 'reports for the next leader':
+        this.forNext.add(t);
+        this.giveKept('');
+        return () => void this.forNext.delete(t);
+      case 'mute': {
         const some = this.some(t.share);
-        for (const w of some) {
-          c.silent.add(w);
-          this.hangUntil.set(w.place.addr, c.clock.now() + ms);
-        }
+        for (const w of some) c.mute.add(w);
+        return () => {
+          for (const w of some) c.mute.delete(w);
+        };
+      }
+      case 'zone cut': {
+        const zone = this.random.pick(['a', 'b']);
+        c.cutZone = zone;
+        const inside = this.names.filter((n) => c.zoneIsCut(n));
+        for (const n of inside) c.state.refusing.add(n);
         return () => {
-          for (const w of some) c.silent.delete(w);
+          c.cutZone = null;
+          for (const n of inside) c.state.refusing.delete(n);
         };
       }
+      case 'ten leaders':
+        for (let i = 0; i < LEADERS; i++) c.clock.after((i * ms) / LEADERS, () => this.change(ms / LEADERS));
+        return () => this.restart();
       case 'machine dies':
         for (const w of this.some(t.share * 0.4)) c.remove(w);
         return () => undefined;
@@ -243,9 +353,25 @@
 
   private crash(nodes: readonly string[]): () => void {
     for (const n of nodes) this.c.killNode(n);
-    return () => {
-      for (const n of nodes) if (!this.c.nodes.has(n)) this.c.startNode(n);
-    };
+    return () => this.restart();
+  }
+
+  private restart(): void {
+    for (const n of this.names) if (!this.c.nodes.has(n)) this.c.startNode(n);
+  }
+
+  /** Ends the busiest node, without warning or after it has handed over; the one before is back by then, mostly. */
+  private change(ms: number): void {
+    const node = this.busiest();
+    const running = this.c.nodes.get(node);
+    if (!running) return;
+    const planned = this.random.chance(0.4);
+    if (planned) void running.node.leave().catch(() => undefined);
+    this.c.clock.after(planned ? Math.min(1500, ms * 0.3) : 0, () => this.c.killNode(node));
+    this.c.clock.after(
+      ms * this.random.between(0.5, 1.4),
+      () => this.c.nodes.has(node) || this.c.startNode(node),
+    );
   }
 
   private roll(ms: number): () => void {
