--- a/src/world/world.ts
+++ b/src/world/world.ts
@@ -45,9 +45,10 @@
   readonly images = new NameTable();
 }
 
-/** Machine types as the cloud last told them. */
+/** Machine types as the cloud last told them; of those that it offers no more, machines may still be there. */
 export class Catalog {
   private readonly byIndex = new Map<number, MachineType>();
+  private offered = new Set<number>();
   /** Counts what the cloud tells anew. */
   version = 0;
   listed: ListedMachine[] = [];
@@ -61,6 +62,7 @@
 
   set(types: MachineType[]): void {
     this.version++;
+    this.offered = new Set(types.map((t) => this.names.types.index(t.name)));
     for (const t of types) this.byIndex.set(this.names.types.index(t.name), t);
   }
 
@@ -73,11 +75,12 @@
     return this.byIndex.get(type);
   }
 
+  /** The types that are offered. */
   all(): [number, MachineType][] {
-    return [...this.byIndex];
+    return [...this.byIndex].filter(([type]) => this.offered.has(type));
   }
 
-  /** Every kind of machine that is offered: a type, a zone, spot or not. */
+  /** Every kind of machine that is or was offered: a type, a zone, spot or not. */
   *kinds(): Generator<{ type: number; of: MachineType; zone: string; spot: boolean }> {
     for (const [type, of] of this.byIndex)
       for (const zone of of.zones) for (const spot of [false, true]) yield { type, of, zone, spot };
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -90,6 +90,8 @@
   readonly cutFromWorkers = new Set<string>();
   capacity = false;
   stateRates = { rps: 600, writeRps: 300 };
+  /** Into how many parts the nodes take these rates to be parted. */
+  ratesParted = 1;
   /** Types that come beside the usual two: name, CPUs, GPUs. */
   readonly moreTypes: [string, number, number][] = [];
   /** What a GPU adds to the price of a machine. */
@@ -200,7 +202,10 @@
       run: `${name}-${++this.runs}`,
     };
     if (this.condor) world.matcher = new ClassAdMatcher(names, world.catalog);
-    world.store = new StateStore(clock, world.http, STATE, { ...this.stateRates, nodes: 1 });
+    world.store = new StateStore(clock, world.http, STATE, {
+      ...this.stateRates,
+      nodes: this.ratesParted,
+    });
     world.cloud = new Cloud(clock, world.http, CLOUD, 30, 1);
     const node = new ControllerNode(world, this.stands(name) ? Standbys : null);
     const api = new Api(world, node);
