What a job may not start on is not rented for it: zones of tasks held together or spread

Cause: a shortage named the zone of its job only.

Change: shortages and needs are parted by the zones in which further tasks may start (zoneRoom); such an array is booked by halves.

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -191,3 +191,18 @@
   }
   return { whole, partly };
 }
+
+/**
+ * In which zones further tasks of a job may start beside those on machines, and how many in each; null when that is any number
+ * anywhere. `zones` are those that it may use at all, the best first.
+ */
+export function zoneRoom(job: Job, zones: readonly number[]): [zone: number, tasks: number][] | null {
+  const { oneZone, spread, tasks } = job.spec;
+  if (!oneZone && !spread) return null;
+  const held = new Map<number, number>();
+  for (const h of job.places.values()) held.set(h.machine.zone, (held.get(h.machine.zone) ?? 0) + 1);
+  if (oneZone && !spread && held.size === 0) return null;
+  const most = spread ? Math.ceil(tasks / 2) : tasks;
+  const allowed = oneZone ? (held.size > 0 ? [...held.keys()] : zones.slice(0, 1)) : zones;
+  return allowed.map((z): [number, number] => [z, most - (held.get(z) ?? 0)]).filter(([, room]) => room > 0);
+}
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -322,7 +322,9 @@
   private bookArray(job: PlanJob, zone: number | null): number | null {
     const perZone = new Map(job.present);
     const half = Math.ceil(job.total / 2);
-    const tasks = job.tasks.slice(0, BOOKED_TASKS);
+    // Of a job that is held to one zone and spread as well, half can run at once, and the others after them.
+    const most = job.oneZone && job.spread ? half - (perZone.get(zone ?? -1) ?? 0) : BOOKED_TASKS;
+    const tasks = job.tasks.slice(0, Math.max(0, Math.min(BOOKED_TASKS, most)));
     const team = this.teams.get(job.team);
     const first = this.from(job);
     let teamFrom = first;
--- a/src/shard/demand.ts
+++ b/src/shard/demand.ts
@@ -1,4 +1,4 @@
-import { type Job, kindAllowed, openCount } from '../jobs/job.js';
+import { type Job, kindAllowed, openCount, zoneRoom } from '../jobs/job.js';
 import type { Booking } from '../plan/model.js';
 import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
@@ -109,7 +109,7 @@
       const cap = this.underCap(job, usage);
       const soon = Math.min(w.soon, cap);
       if (soon <= 0) continue;
-      needs.push(this.need(job, soon, w.waitS));
+      for (const [zone, n] of this.byZone(job, soon)) needs.push(this.need(job, n, w.waitS, zone));
       // What this job may take of its team's limit is no longer there for the team's other jobs.
       const use = usage.get(job.team);
       if (use) addTimes(use, job.need, soon);
@@ -120,14 +120,9 @@
       // What an earlier owner may have started, and may well still run, needs no machine before that is known.
       if (!this.hooks.nowhereElse(job)) continue;
       if (late <= 0 || now - since < RENT_AFTER_MS) continue;
-      short.push({
-        types: job.types,
-        zone: job.zone,
-        spot: job.spec.spot,
-        match: job.match,
-        need: job.need,
-        count: late,
-      });
+      const { types, match, need } = job;
+      for (const [zone, count] of this.byZone(job, late))
+        short.push({ types, zone, spot: job.spec.spot, match, need, count });
     }
     this.needs = needs;
     this.supply.order(short, now);
@@ -163,10 +158,40 @@
     return slots;
   }
 
-  private need(job: Job, count: number, waitS: number): Gossip['needs'][number] {
+  /**
+   * In which zones so many tasks of a job want machines; null: in any. One that is held to a zone by its other tasks, or kept from
+   * it by them, would be given machines there without end, and start on none of them.
+   */
+  private byZone(job: Job, count: number): [zone: number | null, count: number][] {
+    const room = zoneRoom(job, this.zonesOf(job));
+    if (!room) return [[job.zone, count]];
+    let left = count;
+    return room
+      .map(([zone, most]): [number, number] => {
+        const n = Math.min(left, most);
+        left -= n;
+        return [zone, n];
+      })
+      .filter(([, n]) => n > 0);
+  }
+
+  /** The zones in which there are machines for a job, the shard's own first. */
+  private zonesOf(job: Job): number[] {
+    const { names, settings, catalog } = this.world;
+    const zones = new Set<string>();
+    for (const [type, t] of catalog.all())
+      if ((!job.types || job.types.has(type)) && fitCount(t, job.need, 1) > 0)
+        for (const z of t.zones) zones.add(z);
+    return [...zones]
+      .sort((a, b) => Number(b === settings.zone) - Number(a === settings.zone))
+      .map((z) => names.zones.index(z))
+      .filter((z) => job.zone === null || z === job.zone);
+  }
+
+  private need(job: Job, count: number, waitS: number, zone: number | null): Gossip['needs'][number] {
     return {
       types: job.spec.types,
-      zone: job.spec.zone,
+      zone: zone === null ? null : this.world.names.zones.name(zone),
       spot: job.spec.spot,
       cpus: job.need.cpus,
       gpus: job.need.gpus,
--- a/tests/size.test.ts
+++ b/tests/size.test.ts
@@ -5,7 +5,7 @@
 import { chooseRentals, type RentOption } from '../src/plan/rent.js';
 import { Limiter } from '../src/state/limiter.js';
 import { FakeClock } from './support/clock.js';
-import { FakeCluster } from './support/cluster.js';
+import { FakeCluster, job } from './support/cluster.js';
 
 const MACHINES = 1000;
 
@@ -143,3 +143,36 @@
   assert.ok(transactions < MACHINES / 4, `${transactions} transactions`);
   assert.ok((requests.get('GET /watch') ?? 0) < 1000, 'changes are watched in gathered steps');
 });
+
+// Guards against machines that are rented without end where their job's tasks may not start: a task that had to be in another zone
+// than the first one got one machine after the other in its own shard's zone.
+test('a job whose tasks are spread over zones, or held to one, rents where they may start, and runs whole', async () => {
+  for (const change of [
+    { spread: true, pieces: 2 },
+    { spread: true, pieces: 5, shape: 'ensemble' },
+    { oneZone: true, pieces: 3, shape: 'ensemble' },
+    { oneZone: true, pieces: 3 },
+    { oneZone: true, spread: true, pieces: 4 },
+  ]) {
+    const c = new FakeCluster(['n0', 'n1', 'n2']);
+    c.teams = [];
+    c.capacity = true;
+    for (const n of ['n0', 'n1', 'n2']) c.startNode(n);
+    await c.clock.advance(8000);
+    assert.ok(await c.submit('n1', job('wk-1', { cpus: 8, expectedS: 600, ...change })));
+    const most = change.oneZone && change.spread ? 2 : change.pieces;
+    const up = () => {
+      for (const w of c.workers) c.silent.delete(w);
+      c.clock.after(500, up);
+    };
+    up();
+    assert.ok(await c.clock.until(() => c.attempts === most, 30_000), `${JSON.stringify(change)} runs`);
+    await c.clock.advance(60_000);
+    assert.equal(c.attempts, most);
+    const zones = c.workers.filter((w) => w.attempts.length > 0).map((w) => w.place.zone);
+    if (change.oneZone) assert.equal(new Set(zones).size, 1);
+    else assert.ok(zones.filter((z) => z === 'a').length <= Math.ceil(change.pieces / 2));
+    const rented = c.rented.reduce((n, r) => n + r.count, 0);
+    assert.ok(rented <= change.pieces + 2, `${rented} machines are rented for ${JSON.stringify(change)}`);
+  }
+});
--- a/tests/support/cluster.ts
+++ b/tests/support/cluster.ts
@@ -1,5 +1,6 @@
 import pino from 'pino';
 import { Api } from '../../src/api/routes.js';
+import { pause } from '../../src/clock/clock.js';
 import { Cloud } from '../../src/cloud/cloud.js';
 import { ClassAdMatcher } from '../../src/condor/matcher.js';
 import { CondorService } from '../../src/condor/service.js';
@@ -86,6 +87,8 @@
   cutZone: string | null = null;
   /** Workers that reach no node, while orders reach them. */
   readonly mute = new Set<Worker>();
+  /** How long what nodes send is under way, in milliseconds. */
+  linkMs: () => number = () => 0;
   /** Nodes that no worker reaches, while all else does. */
   readonly cutFromWorkers = new Set<string>();
   capacity = false;
@@ -124,6 +127,7 @@
       if (rental) this.rented.push(rental);
       return this.cloud.serve(m, p, b);
     });
+    this.net.delayMs = () => this.linkMs();
     this.net.apart = (from, addr) =>
       this.cutZone !== null && this.isApart(this.zoneOf(from), this.zoneAt(addr));
     this.reportLoop();
@@ -305,6 +309,8 @@
         if (this.nodesApart(from, to)) throw new Error('not connected');
         if (this.refused.has(to)) throw new Error('refused');
         if (this.lostMessages.has(op)) throw new Error('no answer');
+        const ms = this.linkMs();
+        if (ms > 0) await pause(this.clock, ms);
         // A node that is killed meanwhile never answers.
         return new Promise((resolve, reject) => {
           const timer = this.clock.after(timeoutMs, () => reject(new Error('no answer')));
--- a/tests/support/meeting.ts
+++ b/tests/support/meeting.ts
@@ -198,6 +198,7 @@
       pullGb: random.between(0, 3),
       bundle: `img-${Math.floor(random.between(0, 4))}`,
       oneZone,
+      yard: random.chance(0.2) ? random.pick(['a', 'b']) : null,
       // Not both at once: two tasks of such a job can never be on machines at the same time.
       spread: shape === 'sweep' && !oneZone && random.chance(0.3),
       loaner: random.chance(0.7),
--- a/tests/support/net.ts
+++ b/tests/support/net.ts
@@ -19,6 +19,9 @@
   /** Between whom nothing passes, whatever their fate is. */
   apart: (from: string, addr: string) => boolean = () => false;
 
+  /** How long a request is under way, in milliseconds. */
+  delayMs: () => number = () => 0;
+
   constructor(private readonly clock: Clock) {}
 
   requester(from: string): Requester {
@@ -57,10 +60,14 @@
     }
     return new Promise((resolve, reject) => {
       const timer = this.clock.after(timeoutMs, () => reject(new HttpFailure('timeout', true)));
-      void Promise.resolve(peer(method, path, copy, from)).then((served) => {
-        timer.cancel();
-        resolve({ ...served, headers: new Map() });
-      });
+      const arrive = () =>
+        void Promise.resolve(peer(method, path, copy, from)).then((served) => {
+          timer.cancel();
+          resolve({ ...served, headers: new Map() });
+        });
+      const ms = this.delayMs();
+      if (ms > 0) this.clock.after(ms, arrive);
+      else arrive();
     });
   }
 }
--- a/tests/support/troubles.ts
+++ b/tests/support/troubles.ts
@@ -32,7 +32,7 @@
   refused: 25,
   freeze: 15,
   crash: 7,
-  'crash of all': 7,
+  'crash of all': 35,
   roll: 20,
   mute: 30,
   'reports for the next leader': 45,
@@ -42,6 +42,8 @@
   'odd requests': 30,
   'up at once': 40,
   'ten leaders': 120,
+  'slow links': 60,
+  burst: 1,
 } as const;
 export type Kind = keyof typeof MOST_S;
 export const KINDS = Object.keys(MOST_S) as Kind[];
@@ -104,6 +106,7 @@
 /** So many machines of jobs that are called off hang at the most. */
 const HANG_MOST = 8;
 const LEADERS = 10;
+const BURST_MOST = 25;
 const WATCH_MS = 50;
 
 /** Brings troubles about on a scripted cluster, and ends them. */
@@ -311,6 +314,14 @@
           for (const n of inside) c.state.refusing.delete(n);
         };
       }
+      case 'slow links':
+        c.linkMs = () => this.random.between(30, 100 + 400 * t.share);
+        return () => {
+          c.linkMs = () => 0;
+        };
+      case 'burst':
+        this.users.burst(Math.ceil(t.share * BURST_MOST));
+        return () => undefined;
       case 'ten leaders':
         for (let i = 0; i < LEADERS; i++) c.clock.after((i * ms) / LEADERS, () => this.change(ms / LEADERS));
         return () => this.restart();
--- a/tests/support/users.ts
+++ b/tests/support/users.ts
@@ -162,6 +162,22 @@
     return this.c.workers.filter((w) => w.attempts.some((a) => ids.has(a.job) && a.state !== 'exited'));
   }
 
+  /** Submits so many jobs at once, urgent and not. */
+  burst(count: number): void {
+    for (let i = 0; i < count; i++) {
+      const runS = this.random.between(3, 15);
+      const change = {
+        owner: this.random.pick(['red', 'blue']),
+        shape: this.random.pick(['sweep', 'sweep', 'ensemble']),
+        urgency: this.random.pick(['urgent', 'standard', 'low']),
+        pieces: 1 + Math.floor(this.random.between(0, 3)),
+        cpus: this.random.pick([2, 4, 8]),
+        expectedS: runS,
+      };
+      void this.submit(job(`wk-burst-${++this.made}`, change), runS);
+    }
+  }
+
   /** From now on that share of the jobs is called off at the moment at which their last task completes; returns what ends it. */
   cancelAtEnd(share: number): () => void {
     this.tasks.noted = (e: TaskEvent) => {
