--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -47,9 +47,9 @@
   /** A task of it has run under this owner: told once. */
   begun: boolean;
   /** Goes with more urgent work for now, since its last aim is near; it stops nothing. */
-  pressing: boolean;
-  /** Of one that presses, only its first task does: it has not begun, and there is no room for more of it before urgent work. */
-  pressingFirst: boolean;
+  aged: boolean;
+  /** Of one that has aged, only its first task goes before: it has not begun, and there is no room for more of it before urgent work. */
+  agedFirst: boolean;
   dueWall: number;
   version: number;
   state: 'active' | 'done' | 'cancelled';
@@ -126,8 +126,8 @@
     ending: false,
     priority: spec.priority,
     begun: false,
-    pressing: false,
-    pressingFirst: false,
+    aged: false,
+    agedFirst: false,
     dueWall: record.deadline,
     version: record.version,
     state: 'active',
--- a/src/shard/pressing.ts
+++ b/src/shard/ageing.ts
@@ -4,11 +4,11 @@
 import type { Aims } from './aims.js';
 import type { Estimates } from './estimates.js';
 
-/** A job presses when no more than this share of the time for its last aim is left to start in. */
-const PRESS_SHARE = 0.5;
+/** A job has aged when no more than this share of the time for its last aim is left to start in. */
+const AGED_SHARE = 0.5;
 /** Whatever stands before it, a job begins within this: the rule for the largest of each class. */
 export const BEGIN_MOST_S = 240;
-/** Ordinary work that presses may take this share of the shard's processors before more urgent work, or be one job. */
+/** Ordinary work that has aged may take this share of the shard's processors before more urgent work, or be one job. */
 const MOST_SHARE = 0.1;
 /** Beside that, the first tasks of jobs that have not begun take no more than this share, or are one. */
 const FIRSTS_SHARE = 0.1;
@@ -21,7 +21,7 @@
  * by which any job has to have begun is over and it has not: it waits no more for every urgent job that comes, is not stopped
  * for one, and stops nothing itself.
  */
-export class Pressing {
+export class Ageing {
   private readonly lifted = new Set<Job>();
 
   constructor(
@@ -31,11 +31,11 @@
     private readonly estimates: Estimates,
   ) {}
 
-  /** Looks anew which jobs press; `cpus` is what the shard's machines have. */
+  /** Looks anew which jobs have aged; `cpus` is what the shard's machines have. */
   tick(cpus: number): void {
     for (const job of this.lifted) {
-      job.pressing = false;
-      job.pressingFirst = false;
+      job.aged = false;
+      job.agedFirst = false;
       job.priority = job.spec.priority;
       job.dueWall = job.deadlineWall;
     }
@@ -45,7 +45,7 @@
     for (const job of this.jobs.values()) {
       if (job.priority > PRIORITY.normal || job.suspect || job.waitsFor.size > 0) continue;
       const begun = this.hasBegun(job);
-      const withinS = this.pressedBy(job, (wall - job.acceptedWall) / 1000, begun);
+      const withinS = this.agedBy(job, (wall - job.acceptedWall) / 1000, begun);
       if (withinS !== null) due.push({ job, until: job.acceptedWall + withinS * 1000, begun });
     }
     due.sort((a, b) => a.job.order - b.job.order);
@@ -55,7 +55,7 @@
       room -= (job.spec.tasks - job.done.count) * job.need.cpus;
       // One at least, also where the shard is small.
       if (room >= 0 || this.lifted.size === 0) this.lift(job, until, false);
-      if (job.pressing || begun) continue;
+      if (job.aged || begun) continue;
       // Those behind it would wait for it to begin, one after the other: where many are large, for longer than any may wait.
       const array = job.spec.kind === 'array';
       const none = firsts === cpus * FIRSTS_SHARE;
@@ -65,20 +65,20 @@
   }
 
   private lift(job: Job, until: number, first: boolean): void {
-    job.pressing = true;
-    job.pressingFirst = first;
+    job.aged = true;
+    job.agedFirst = first;
     job.priority = PRIORITY.high;
     job.dueWall = Math.min(job.dueWall, until);
     this.lifted.add(job);
   }
 
-  /** Within how many seconds of its acceptance something presses a job to be met; null when nothing does now. */
-  private pressedBy(job: Job, ageS: number, begun: boolean): number | null {
+  /** Within how many seconds of its acceptance something that has aged a job has to be met; null when nothing has. */
+  private agedBy(job: Job, ageS: number, begun: boolean): number | null {
     // However many aims it has missed. The largest wait the longest for room, and nobody else asks for them.
-    if (ageS > BEGIN_MOST_S * PRESS_SHARE && !begun) return BEGIN_MOST_S;
+    if (ageS > BEGIN_MOST_S * AGED_SHARE && !begun) return BEGIN_MOST_S;
     const aim =
       job.priority === PRIORITY.normal ? this.aims.last(job.spec, this.estimates.runS(job.spec)) : null;
-    if (aim === null || aim.latestS - ageS > aim.withinS * PRESS_SHARE) return null;
+    if (aim === null || aim.latestS - ageS > aim.withinS * AGED_SHARE) return null;
     // Of what has missed it, nothing more is gained; what has begun may run faster than expected.
     const placed = job.places.size > 0 || job.done.count > 0;
     return ageS <= (placed ? aim.withinS : aim.latestS) ? aim.withinS : null;
--- a/src/shard/aims.ts
+++ b/src/shard/aims.ts
@@ -73,8 +73,8 @@
   ranks(jobs: readonly Job[], wall: number, runS: (spec: JobSpec) => number): Map<Job, number> {
     const ranks = new Map<Job, number>();
     for (const job of jobs) {
-      // What presses has waited long enough, whatever it has missed.
-      const gang = job.spec.kind === 'gang' && !job.pressing;
+      // What has aged has waited long enough, whatever it has missed.
+      const gang = job.spec.kind === 'gang' && !job.aged;
       const ageS = (wall - job.acceptedWall) / 1000;
       ranks.set(job, gang ? this.rank(job.spec, ageS, runS(job.spec)) : RANKS.allInReach);
     }
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -7,12 +7,12 @@
 import type { Fleet } from '../workers/fleet.js';
 import type { Machine } from '../workers/machine.js';
 import type { World } from '../world/world.js';
+import { Ageing } from './ageing.js';
 import { Aims } from './aims.js';
 import type { Demand } from './demand.js';
 import type { Estimates } from './estimates.js';
 import { book, type Outlook } from './outlook.js';
 import type { Preemption } from './preemption.js';
-import { Pressing } from './pressing.js';
 import type { Starts } from './starts.js';
 import type { JobTable } from './table.js';
 import type { Waiting } from './waiting.js';
@@ -49,7 +49,7 @@
 /** The plan of one shard: what is weighed against it, booked in it and started by it. */
 export class Planner {
   private readonly aims: Aims;
-  private readonly pressing: Pressing;
+  private readonly ageing: Ageing;
   private bookAnewAt = 0;
   /** Jobs that fit into their team's guarantee together with the team's earlier ones. */
   private guaranteed: ReadonlySet<Job> = new Set();
@@ -75,12 +75,12 @@
     private readonly demand: Demand,
   ) {
     this.aims = new Aims(world.settings.objectives);
-    this.pressing = new Pressing(world, table.jobs, this.aims, estimates);
+    this.ageing = new Ageing(world, table.jobs, this.aims, estimates);
   }
 
-  /** Looks at what has become pressing; before priorities are passed on to what is needed. */
-  press(): void {
-    this.pressing.tick(this.cpus(this.inUse()));
+  /** Looks at what has aged; before priorities are passed on to what is needed. */
+  age(): void {
+    this.ageing.tick(this.cpus(this.inUse()));
   }
 
   /** Whether something is booked on a machine. */
@@ -123,8 +123,8 @@
     const byAims = (a: Job, b: Job) => aims.get(a)! - aims.get(b)!;
     // What a team is guaranteed goes to those of its jobs that can still use it.
     const { partly } = withinGuarantee([...jobs].sort(byAims), teams);
-    // What presses is little, and would wait for ever behind what others are guaranteed.
-    const rank = ({ job, part }: Turn) => (partly.has(job) || (job.pressing && part !== 'rest') ? 0 : 1);
+    // What has aged is little, and would wait for ever behind what others are guaranteed.
+    const rank = ({ job, part }: Turn) => (partly.has(job) || (job.aged && part !== 'rest') ? 0 : 1);
     const inUse = this.inUse();
     const cpus = Math.max(1, this.cpus(inUse));
     const turnAt = ({ job, part, priority }: Turn): number => {
@@ -292,7 +292,7 @@
       const job = byOrder.get(b.job.id);
       if (job && b.start > now / 1000 + PREEMPT_WAIT_S) waiting.add(job);
     }
-    for (const job of waiting) if (job.suspect || job.pressing) waiting.delete(job);
+    for (const job of waiting) if (job.suspect || job.aged) waiting.delete(job);
     this.preemption.makeRoom(waiting, now);
     this.demand.assess(plan, unplaced, byOrder, now);
   }
@@ -308,9 +308,9 @@
   }
 }
 
-/** Of a job that presses with its first task alone, that task goes before urgent work until it is placed, the others in their own turn. */
+/** Of a job of which the first task alone has aged, that task goes before urgent work until it is placed, the others in their own turn. */
 function turnsOf(job: Job): Turn[] {
-  if (!job.pressing || !job.pressingFirst) return [{ job, part: 'all', priority: job.priority }];
+  if (!job.aged || !job.agedFirst) return [{ job, part: 'all', priority: job.priority }];
   const rest: Turn = { job, part: 'rest', priority: job.spec.priority };
   return job.places.size > 0 ? [rest] : [{ job, part: 'first', priority: job.priority }, rest];
 }
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -450,7 +450,7 @@
     this.guarded(() => {
       const now = this.world.clock.now();
       this.tellAdopted();
-      this.planner.press();
+      this.planner.age();
       this.waiting.tick(now);
       this.questions.endDoomed();
       this.draining.drain(now);
--- a/src/shard/waiting.ts
+++ b/src/shard/waiting.ts
@@ -274,8 +274,8 @@
    */
   private inherit(waiting: readonly Job[]): void {
     for (const job of this.inherited) {
-      // One that presses has been given its priority just now.
-      if (job.pressing) continue;
+      // One that has aged has been given its priority just now.
+      if (job.aged) continue;
       job.priority = job.spec.priority;
       job.dueWall = job.deadlineWall;
     }
@@ -295,7 +295,7 @@
     if (!to) return;
     to.priority = Math.max(to.priority, priority);
     // As urgent by what needs it, it may stop lesser work again.
-    if (priority >= PRIORITY.high) to.pressing = false;
+    if (priority >= PRIORITY.high) to.aged = false;
     to.dueWall = Math.min(to.dueWall, dueWall);
     this.inherited.add(to);
   }
--- a/tests/aims.test.ts
+++ b/tests/aims.test.ts
@@ -145,7 +145,7 @@
   }
 });
 
-// Guards against large jobs that wait for each other to begin: one at a time pressed, with all of its tasks, so that where many are
+// Guards against large jobs that wait for each other to begin: one at a time was aged, with all of its tasks, so that where many are
 // large the last ones waited for longer than any may, and a small one behind them as well.
 test('many large jobs all begin within four minutes, and a small one among them, where urgent work comes without end', async () => {
   const c = new FakeCluster(['n0']);
