--- a/tests/emulator.test.ts
+++ b/tests/emulator.test.ts
@@ -6,7 +6,7 @@
 import type { TaskEvent } from '../src/emulator/tasks.js';
 import { Tasks } from '../src/emulator/tasks.js';
 import { Worker } from '../src/emulator/worker.js';
-import { checkHistory, type UserEvent } from '../src/load/check.js';
+import { checkHistory, LeftWaiting, startName, type UserEvent } from '../src/load/check.js';
 import { sharesOf } from '../src/load/served.js';
 import { type JobSpec, readJob } from '../src/wire/users.js';
 import { FakeClock } from './support/clock.js';
@@ -225,6 +225,51 @@
   assert.deepEqual(rules(clean, [told(9100, 'wk-c', 'cancelled')]), ['went_back']);
   assert.deepEqual(rules(clean, [...cancel, told(50_000, 'wk-b', 'queued')]), ['orphaned']);
   assert.deepEqual(rules([], []), ['nothing_ran']);
+  // What was asked before an end was told may have crossed with it; what was asked after it may not be older.
+  const heard = (e: UserEvent, asked: number): UserEvent => ({ ...e, asked });
+  const end = told(9100, 'wk-a', 'done');
+  assert.deepEqual(rules(clean, [end, heard(told(9101, 'wk-a', 'running'), 0)]), []);
+  assert.deepEqual(rules(clean, [end, heard(told(9101, 'wk-a', 'running'), 1)]), ['went_back']);
+  assert.deepEqual(rules(clean, [end, heard(told(9101, 'wk-a', 'cancelled'), 0)]), ['went_back']);
+  const accepted = did(1, 'wk-a', 'accepted');
+  assert.deepEqual(rules(clean, [accepted, heard(did(2, 'wk-a', 'unknown'), 0)]), []);
+  assert.deepEqual(rules(clean, [accepted, heard(did(2, 'wk-a', 'refused'), 1)]), ['forgotten']);
+  assert.deepEqual(rules(clean, [{ ...did(1, 'wk-odd', 'accepted'), unfit: 'it has no id' }]), [
+    'accepted_unfit',
+  ]);
+  const ordered = (at: number) => new Map([[startName('m-1', 'wk-a', 0, on(0, 'wk-a', 0).attempt), at]]);
+  const started = (at: number) =>
+    checkHistory([on(900, 'wk-a', 0)], cancel, jobs, { ...limits, ordered: ordered(at) }).map((v) => v.rule);
+  assert.deepEqual(started(9), [], 'it was under way');
+  assert.deepEqual(started(11), ['started_cancelled']);
+});
+
+test('a job is left waiting when for 90 s a machine that fits has room and its team is under its limit', () => {
+  const spec = readJob(job('wk-w', { cpus: 4, shape: 'ensemble', pieces: 2, oneZone: true })) as JobSpec;
+  const machine = (zone: string, cpus: number) => ({
+    type: 'c8',
+    zone,
+    spot: false,
+    cpus,
+    gpus: 0,
+    memoryGb: 64,
+  });
+  const waits = (machines: ReturnType<typeof machine>[], leftCpus: number | null, gapAt = -1) => {
+    const left = new LeftWaiting();
+    const found = [];
+    for (let s = 0; s <= 200; s++)
+      found.push(...left.look(s * 1000, s === gapAt ? [] : machines, [{ spec, leftCpus, leftGpus: null }]));
+    return found.map((v) => [v.rule, v.at]);
+  };
+  assert.deepEqual(waits([machine('a', 8)], null), [['left_waiting', 91_000]]);
+  assert.deepEqual(
+    waits([machine('a', 8)], 8, 50),
+    [['left_waiting', 142_000]],
+    'room all the time, once told',
+  );
+  assert.deepEqual(waits([machine('a', 8)], 7), [], 'beyond the limit');
+  assert.deepEqual(waits([machine('a', 4), machine('b', 7)], null), [], 'not in one zone');
+  assert.deepEqual(waits([{ ...machine('a', 8), memoryGb: 7 }], null), [], 'no memory');
 });
 
 test('what share of each class and team was served is told, the lowest first', () => {
