--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -206,3 +206,8 @@
   const allowed = oneZone ? (held.size > 0 ? [...held.keys()] : zones.slice(0, 1)) : zones;
   return allowed.map((z): [number, number] => [z, most - (held.get(z) ?? 0)]).filter(([, room]) => room > 0);
 }
+
+/** The priority of a job's tasks, without the one that goes before more urgent work since the job has not begun in time. */
+export function restPriority(job: Job): number {
+  return job.aged && job.agedFirst ? job.spec.priority : job.priority;
+}
--- a/src/shard/demand.ts
+++ b/src/shard/demand.ts
@@ -1,4 +1,4 @@
-import { type Job, kindAllowed, openCount, zoneRoom } from '../jobs/job.js';
+import { type Job, kindAllowed, openCount, restPriority, zoneRoom } from '../jobs/job.js';
 import type { Booking } from '../plan/model.js';
 import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
@@ -104,7 +104,7 @@
     }
     for (const job of waiting.keys()) if (job.suspect) waiting.delete(job);
     for (const [job, w] of [...waiting].sort(
-      (a, b) => b[0].priority - a[0].priority || a[0].order - b[0].order,
+      (a, b) => restPriority(b[0]) - restPriority(a[0]) || a[0].order - b[0].order,
     )) {
       const cap = this.underCap(job, usage);
       const soon = Math.min(w.soon, cap);
@@ -134,7 +134,7 @@
     const slots = new Map<string, number>();
     let seconds = 0;
     for (const job of this.jobs.values()) {
-      if (job.priority < PRIORITY.high || job.spec.kind === 'service' || job.notBefore > now) continue;
+      if (restPriority(job) < PRIORITY.high || job.spec.kind === 'service' || job.notBefore > now) continue;
       if (job.waitsFor.size > 0) continue;
       if (job.spec.kind === 'gang' && job.places.size > 0) continue;
       const open = openCount(job);
@@ -197,7 +197,7 @@
       gpus: job.need.gpus,
       memoryGb: job.need.memoryGb,
       count,
-      priority: job.priority,
+      priority: restPriority(job),
       guaranteed: this.hooks.guaranteed(job),
       deadline: job.dueWall,
       waitS,
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -1,4 +1,4 @@
-import { type Job, kindAllowed, withinGuarantee } from '../jobs/job.js';
+import { type Job, kindAllowed, restPriority, withinGuarantee } from '../jobs/job.js';
 import type { PlanJob } from '../plan/model.js';
 import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
@@ -311,7 +311,7 @@
 /** Of a job of which the first task alone has aged, that task goes before urgent work until it is placed, the others in their own turn. */
 function turnsOf(job: Job): Turn[] {
   if (!job.aged || !job.agedFirst) return [{ job, part: 'all', priority: job.priority }];
-  const rest: Turn = { job, part: 'rest', priority: job.spec.priority };
+  const rest: Turn = { job, part: 'rest', priority: restPriority(job) };
   return job.places.size > 0 ? [rest] : [{ job, part: 'first', priority: job.priority }, rest];
 }
 
--- a/src/shard/starts.ts
+++ b/src/shard/starts.ts
@@ -1,5 +1,5 @@
 import type { Log } from '../config/log.js';
-import { type Job, kindAllowed } from '../jobs/job.js';
+import { type Job, kindAllowed, restPriority } from '../jobs/job.js';
 import type { Plan } from '../plan/plan.js';
 import { type Amounts, fitCount } from '../plan/profile.js';
 import { machineUsable, needsMet } from '../standby/checks.js';
@@ -89,7 +89,7 @@
     };
     for (const [job, parts] of gangs) if (parts.length === job.spec.tasks) start(job, parts);
     for (const s of singles) {
-      if (s.job.priority === PRIORITY.low && !this.mayStartLow(now)) continue;
+      if (restPriority(s.job) === PRIORITY.low && !this.mayStartLow(now)) continue;
       start(s.job, [s]);
     }
     this.pending.clear();
