Whether a job has begun is asked of aged ones only; one way to cancel again in the tests' users

Last read of the change, no change of behaviour: each second it was asked of every job of ordinary priority or below, also where thousands are young.

--- a/src/shard/ageing.ts
+++ b/src/shard/ageing.ts
@@ -41,21 +41,20 @@
     }
     this.lifted.clear();
     const wall = this.world.clock.wall();
-    const due: { job: Job; until: number; begun: boolean }[] = [];
+    const due: { job: Job; until: number }[] = [];
     for (const job of this.jobs.values()) {
       if (job.priority > PRIORITY.normal || job.suspect || job.waitsFor.size > 0) continue;
-      const begun = this.hasBegun(job);
-      const withinS = this.agedBy(job, (wall - job.acceptedWall) / 1000, begun);
-      if (withinS !== null) due.push({ job, until: job.acceptedWall + withinS * 1000, begun });
+      const withinS = this.agedBy(job, (wall - job.acceptedWall) / 1000);
+      if (withinS !== null) due.push({ job, until: job.acceptedWall + withinS * 1000 });
     }
     due.sort((a, b) => a.job.order - b.job.order);
     let room = cpus * MOST_SHARE;
     let firsts = cpus * FIRSTS_SHARE;
-    for (const { job, until, begun } of due) {
+    for (const { job, until } of due) {
       room -= (job.spec.tasks - job.done.count) * job.need.cpus;
       // One at least, also where the shard is small.
       if (room >= 0 || this.lifted.size === 0) this.lift(job, until, false);
-      if (job.aged || begun) continue;
+      if (job.aged || this.hasBegun(job)) continue;
       // Those behind it would wait for it to begin, one after the other: where many are large, for longer than any may wait.
       const array = job.spec.kind === 'array';
       const none = firsts === cpus * FIRSTS_SHARE;
@@ -73,9 +72,9 @@
   }
 
   /** Within how many seconds of its acceptance something that has aged a job has to be met; null when nothing has. */
-  private agedBy(job: Job, ageS: number, begun: boolean): number | null {
+  private agedBy(job: Job, ageS: number): number | null {
     // However many aims it has missed. The largest wait the longest for room, and nobody else asks for them.
-    if (ageS > BEGIN_MOST_S * AGED_SHARE && !begun) return BEGIN_MOST_S;
+    if (ageS > BEGIN_MOST_S * AGED_SHARE && !this.hasBegun(job)) return BEGIN_MOST_S;
     const aim =
       job.priority === PRIORITY.normal ? this.aims.last(job.spec, this.estimates.runS(job.spec)) : null;
     if (aim === null || aim.latestS - ageS > aim.withinS * AGED_SHARE) return null;
--- a/tests/support/users.ts
+++ b/tests/support/users.ts
@@ -117,7 +117,7 @@
     if (r?.status === 200 || r?.status === 201) this.told(known, r, asked);
   }
 
-  private async abort(known: Known, node: string): Promise<void> {
+  private async abort(known: Known, node?: string): Promise<void> {
     const asked = this.events.length;
     this.cancelled(
       known,
@@ -204,7 +204,7 @@
         const known = [...this.jobs.values()].filter((j) => j.accepted);
         if (known.length > 0) {
           const one = this.random.pick(known);
-          if (one.over) void this.cancelAgain(one);
+          if (one.over) void this.abort(one);
           else void this.again(one);
         }
         void this.submitUnfit(this.random.pick(UNFIT));
@@ -216,16 +216,6 @@
     };
   }
 
-  private async cancelAgain(known: Known): Promise<void> {
-    // Of what is over a user's wish changes nothing.
-    const asked = this.events.length;
-    this.cancelled(
-      known,
-      await this.call('POST', `/api/jobs/${known.spec.id}/abort`, null, SUBMIT_MS),
-      asked,
-    );
-  }
-
   private async submitUnfit([why, change]: (typeof UNFIT)[number]): Promise<void> {
     const id = `wk-odd-${++this.made}`;
     const wire: Record<string, unknown> = { ...job(id), ...change };
