The scale run: spartray scale measures every role at a given size, on real controllers and hollow workers

Cause: nothing told what a controller, the state service or a worker spends at 1,800 workers, and `--controllers` ended at nine.

A controller's health tells the revision that it knows. Services that still run at the end of a load no longer count as lost.

--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -12,6 +12,7 @@
   readJob,
   USER_PATHS,
   writeAccepted,
+  writeHealth,
   writeJobList,
   writeStatus,
 } from '../wire/users.js';
@@ -51,7 +52,9 @@
   private async route(r: HttpRequest): Promise<HttpReply> {
     if (r.path === USER_PATHS.health) {
       if (r.method !== 'GET') return wrongMethod('GET');
-      const health = this.node.healthy ? { status: 200, body: { ok: true } } : later(503, 1, 'starting');
+      const health = this.node.healthy
+        ? { status: 200, body: writeHealth(this.node.members.mirror.revision) }
+        : later(503, 1, 'starting');
       return { ...health, from: 'health' };
     }
     if (r.path === WORKER_PATHS.report) return r.method === 'POST' ? this.report(r) : wrongMethod('POST');
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -9,6 +9,7 @@
 import { addLoadCommand } from './load.js';
 import { addLocalCommands } from './local.js';
 import { EXIT, fail } from './output.js';
+import { addScaleCommand } from './scale.js';
 
 const command = new Command('spartray')
   .description('The spartray cluster scheduler: jobs, and a cluster on one machine.')
@@ -25,6 +26,7 @@
 addLocalCommands(command);
 addJobCommands(command);
 addLoadCommand(command);
+addScaleCommand(command);
 addCertsCommand(command);
 // Only then: it needs the language's grammar.
 if (['condor', 'help', '--help', '-h'].includes(process.argv[2] ?? ''))
--- a/src/cli/local.ts
+++ b/src/cli/local.ts
@@ -4,6 +4,8 @@
 import { fileURLToPath } from 'node:url';
 import { type Command, InvalidArgumentError } from 'commander';
 import type { LocalCluster } from '../emulator/local.js';
+import type { Platform } from '../emulator/platform.js';
+import { MOST_CONTROLLERS } from '../emulator/ports.js';
 import { loadJobs } from './files.js';
 import { EXIT, fail, say } from './output.js';
 
@@ -14,11 +16,14 @@
   data?: string;
   port: number;
   seed: number;
+  standby?: boolean;
+  program?: string;
   condor?: boolean;
   condorTeam?: string;
 }
 
-function number(low: number, high: number, whole = true) {
+/** A parser of a flag's value: a number in a range. */
+export function number(low: number, high: number, whole = true) {
   return (text: string) => {
     const n = Number(text);
     if (!(n >= low && n <= high) || (whole && !Number.isInteger(n)))
@@ -30,7 +35,7 @@
 /** The flags of everything that starts a cluster on this machine. */
 export function localOptions(command: Command, speed: number): Command {
   return command
-    .option('--controllers <n>', 'controller processes', number(1, 9), 3)
+    .option('--controllers <n>', 'controller processes', number(1, MOST_CONTROLLERS), 3)
     .option('--machines <file>', 'platform file: machine types, capacity, teams, limits', 'builtin')
     .option('--speed <times>', 'so many times as fast as the time of day', number(1, 50, false), speed)
     .option(
@@ -38,20 +43,23 @@
       'settings, logs and the state that outlives the cluster (a temporary one if left out)',
     )
     .option('--port <port>', 'first of the ports that are used', number(1024, 60_000), 7700)
+    .option('--program <file>', 'the controllers’ program, to compare another version (this one if left out)')
+    .option('--standby', 'a warm standby for every shard')
     .option('--condor', 'serve HTCondor submit files as well')
     .option('--condor-team <team>', 'the team of processes without an accounting group')
     .option('--seed <n>', 'of all that is drawn', number(0, 2 ** 31), 1);
 }
 
-/** Starts a cluster, and sees to it that nothing stays behind. */
+/** Starts a cluster of the platform file or of `sized`, and sees to it that nothing stays behind. */
 export async function startLocal(
   flags: LocalFlags,
+  sized?: Platform,
 ): Promise<{ cluster: LocalCluster; stop: () => Promise<void> }> {
   const [{ LocalCluster }, { loadPlatform }] = await Promise.all([
     import('../emulator/local.js'),
     import('../emulator/platform.js'),
   ]);
-  const platform = loadPlatform(flags.machines);
+  const platform = sized ?? loadPlatform(flags.machines);
   const data = flags.data ?? mkdtempSync(join(tmpdir(), 'spartray-'));
   const cluster = new LocalCluster({
     platform,
@@ -60,8 +68,9 @@
     data,
     port: flags.port,
     seed: flags.seed,
-    program: fileURLToPath(new URL('../main.js', import.meta.url)),
+    program: flags.program ?? fileURLToPath(new URL('../main.js', import.meta.url)),
     flags: [
+      ...(flags.standby ? ['--standby'] : []),
       ...(flags.condor ? ['--condor', '--depot', `127.0.0.1:${flags.port + 1}`] : []),
       ...(flags.condorTeam === undefined ? [] : ['--condor-team', flags.condorTeam]),
     ],
--- a/src/emulator/local.ts
+++ b/src/emulator/local.ts
@@ -10,11 +10,15 @@
 import { Balancer } from './balancer.js';
 import { CloudService } from './cloud.js';
 import { Market } from './market.js';
+import { Network, type Site } from './network.js';
 import { capacityOf, type NodePlace, type Platform, settingsOf, typesOf } from './platform.js';
+import { PORTS_FOR_SERVICES, PORTS_PER_CONTROLLER, WORKER_PORTS } from './ports.js';
 import { Random } from './random.js';
-import { Reporter } from './reporter.js';
+import { PeerRelay } from './relay.js';
+import { Reporter, type ReporterLinks } from './reporter.js';
 import { type Served, StateService, type StoredState } from './state.js';
 import { type Description, Tasks } from './tasks.js';
+import { bodyBytes, Traffic } from './traffic.js';
 import { type Place, Worker } from './worker.js';
 
 export interface LocalOptions {
@@ -43,6 +47,7 @@
   worker: Worker;
   reporter: Reporter;
   server: HttpServer;
+  site: Site;
 }
 
 interface Stored {
@@ -52,8 +57,6 @@
 }
 
 const HOST = '127.0.0.1';
-const PORTS_FOR_SERVICES = 100;
-const WORKER_PORTS = 4000;
 const RESTART_MS = 4000;
 const STOP_MS = 3000;
 const SAVE_MS = 2000;
@@ -72,6 +75,9 @@
   readonly market: Market;
   readonly tasks: Tasks;
   readonly balancer: Balancer;
+  readonly network: Network;
+  /** What passes over all links, by kind. */
+  readonly traffic = new Traffic();
   readonly machines = new Map<string, Machine>();
   readonly controllers: Controller[];
   readonly users: string;
@@ -79,6 +85,7 @@
   private readonly http: HttpClient;
   private readonly random: Random;
   private readonly servers: HttpServer[] = [];
+  private readonly relays: PeerRelay[] = [];
   private readonly packr = new Packr({ useRecords: false });
   private stopping = false;
 
@@ -86,8 +93,14 @@
     const { platform, port } = options;
     this.clock = quickClock(options.speed);
     this.random = new Random(options.seed);
+    this.network = new Network(platform);
     this.http = new HttpClient(this.clock, { maxSockets: 8000, bodyBytes: 1024 * 1024 });
     this.state = new StateService(this.clock);
+    this.state.observed = (r) => {
+      const refused = r.status === 429 ? ' refused' : '';
+      this.traffic.add(`state ${r.kind}${refused}`, r.requestBytes);
+      this.traffic.add(`state ${r.kind}${refused} answer`, r.answerBytes);
+    };
     const { rps, write_rps, value_kb, txn_ops } = platform.state;
     this.state.limits = {
       valueBytes: value_kb * 1024,
@@ -121,7 +134,7 @@
     this.cloud = new CloudService(this.clock, this.market);
     this.cloud.requestsPerSecond = platform.cloud.rps;
     this.controllers = Array.from({ length: options.controllers }, (_, i) => {
-      const at = (n: number) => `${HOST}:${port + 2 + i * 4 + n}`;
+      const at = (n: number) => `${HOST}:${port + 2 + i * PORTS_PER_CONTROLLER + n}`;
       return {
         node: `controller-${i}`,
         zone: platform.zones[i % platform.zones.length]!,
@@ -129,6 +142,7 @@
         peerBind: at(1),
         state: at(2),
         cloud: at(3),
+        peerAddr: at(4),
         process: null,
         starts: 0,
       };
@@ -148,8 +162,14 @@
     this.restore();
     await this.serve(this.depot, (method, path, body) => this.deposit(method, path, body));
     for (const c of this.controllers) {
-      await this.serve(c.state, (method, path, body) => this.state.serve(method, path, body, c.node));
-      await this.serve(c.cloud, (method, path, body) => this.cloud.serve(method, path, body));
+      const link = { from: this.network.inZone(c.zone), to: this.network.services };
+      await this.serve(c.state, (method, path, body) =>
+        this.through(link, () => this.state.serve(method, path, body, c.node)),
+      );
+      await this.serve(c.cloud, (method, path, body) =>
+        this.through(link, () => this.cloud.serve(method, path, body)),
+      );
+      await this.relay(c);
     }
     await this.balancer.listen(Number(this.users.split(':')[1]));
     this.market.open();
@@ -180,7 +200,7 @@
     );
     for (const id of [...this.machines.keys()]) this.end(id);
     this.balancer.close();
-    for (const s of this.servers) s.close();
+    for (const s of [...this.servers, ...this.relays]) s.close();
     this.http.close();
     this.store();
   }
@@ -247,14 +267,67 @@
     return server;
   }
 
+  private async relay(c: Controller): Promise<void> {
+    const [host, port] = c.peerBind.split(':');
+    const siteOf = (node: string) => {
+      const zone = this.controllers.find((other) => other.node === node)?.zone;
+      return zone === undefined ? null : this.network.inZone(zone);
+    };
+    const target = { node: c.node, host: host!, port: Number(port) };
+    const relay = new PeerRelay(this.clock, this.network, this.traffic, target, siteOf);
+    await relay.listen(HOST, Number(c.peerAddr.split(':')[1]));
+    this.relays.push(relay);
+  }
+
+  /** Serves a request as from a site to another: late by twice their delay, and never while no message passes. */
+  private async through(
+    link: { from: Site; to: Site },
+    serve: () => Served | Promise<Served>,
+  ): Promise<Served> {
+    const delayMs = this.network.delayMs(link.from, link.to);
+    const unanswered = new Promise<Served>(() => undefined);
+    if (delayMs > 0) await pause(this.clock, delayMs);
+    if (this.network.apart(link.from, link.to)) return unanswered;
+    const served = await serve();
+    if (delayMs > 0) await pause(this.clock, delayMs);
+    return this.network.apart(link.from, link.to) ? unanswered : served;
+  }
+
+  /** Whether orders do not reach a machine: it lost its network, or its part of it is cut off from the services. */
+  private unreached(m: Pick<Machine, 'reporter' | 'site'> | undefined): boolean {
+    return m !== undefined && (m.reporter.cut || this.network.apart(m.site, this.network.services));
+  }
+
+  private linksOf(site: Site): ReporterLinks {
+    const siteOf = new Map(this.controllers.map((c) => [c.node, this.network.inZone(c.zone)]));
+    return {
+      delayMs: (node) => this.network.delayMs(site, siteOf.get(node)!),
+      apart: (node) => this.network.apart(site, siteOf.get(node)!),
+      answered: (report, answer) => {
+        this.traffic.add('worker report', bodyBytes(report));
+        this.traffic.add('worker report answer', bodyBytes(answer));
+      },
+    };
+  }
+
+  private command(worker: Worker, method: string, path: string, body: unknown): Served {
+    const served = worker.serve(method, path, body);
+    this.traffic.add('worker command', bodyBytes(body));
+    this.traffic.add('worker command answer', bodyBytes(served.body));
+    return served;
+  }
+
   private async boot(place: Place): Promise<void> {
     const { lease_s, report_s } = this.options.platform.workers;
     const worker: Worker = new Worker(this.clock, place, lease_s, this.tasks, () => reporter?.touch());
+    const site = this.network.inRack(place.zone, Number(place.id.slice(2)));
     let reporter: Reporter | null = null;
     let server: HttpServer;
     try {
       server = await this.serve(place.addr, (method, path, body) =>
-        reporter?.cut ? new Promise<Served>(() => undefined) : worker.serve(method, path, body),
+        this.unreached(this.machines.get(place.id))
+          ? new Promise<Served>(() => undefined)
+          : this.command(worker, method, path, body),
       );
     } catch {
       // Its port is taken: a machine that never comes up.
@@ -267,8 +340,9 @@
       worker,
       this.controllers.map((c) => ({ node: c.node, addr: c.bind })),
       report_s,
+      this.linksOf(site),
     );
-    this.machines.set(place.id, { worker, reporter, server });
+    this.machines.set(place.id, { worker, reporter, server, site });
   }
 
   private end(id: string): void {
--- a/src/emulator/platform.ts
+++ b/src/emulator/platform.ts
@@ -15,6 +15,9 @@
 
 const file = v.object({
   zones: v.pipe(v.array(text), v.minLength(1)),
+  /** Zones that share a region; left out, all are in one. */
+  regions: v.optional(v.record(text, v.pipe(v.array(text), v.minLength(1))), {}),
+  racks_per_zone: or(v.pipe(whole, v.minValue(1)), 1),
   machine_types: v.pipe(
     v.array(
       v.object({
@@ -70,6 +73,16 @@
   cloud: v.optional(v.object({ rps: or(positive, 10), list_lag_s: or(amount, 5) }), {}),
   spot: v.optional(v.object({ per_hour: or(amount, 0.4), notice_s: or(amount, 20) }), {}),
   boot_fail: or(share, 0.01),
+  /** How long a message is under way, in one direction. */
+  network: v.optional(
+    v.object({ same_zone_ms: or(amount, 0), cross_zone_ms: or(amount, 0), cross_region_ms: or(amount, 0) }),
+    {},
+  ),
+  /** What a controller is told that it may use. */
+  controllers: v.optional(
+    v.object({ cores: or(positive, 1), memory_mb: or(positive, 250), max_sockets: or(positive, 1000) }),
+    {},
+  ),
 });
 
 /** What a cluster on one machine consists of, as its file says. */
@@ -156,9 +169,23 @@
     if (!p.output.zones.includes(c.zone))
       throw new SettingsError(`${path}: capacity.${i}.zone: no zone ${c.zone}`);
   }
+  checkRegions(path, p.output);
   return p.output;
 }
 
+/** Every zone is in one region, or none is named. */
+function checkRegions(path: string, p: Platform): void {
+  const regions = Object.entries(p.regions);
+  if (regions.length === 0) return;
+  const grouped = regions.flatMap(([, zones]) => zones);
+  for (const [region, zones] of regions)
+    for (const zone of zones)
+      if (!p.zones.includes(zone)) throw new SettingsError(`${path}: regions.${region}: no zone ${zone}`);
+  for (const zone of p.zones)
+    if (grouped.filter((z) => z === zone).length !== 1)
+      throw new SettingsError(`${path}: regions: ${zone} must be in one region`);
+}
+
 export function typesOf(p: Platform): MachineType[] {
   return p.machine_types.map((t) => ({
     name: t.name,
@@ -181,6 +208,8 @@
   zone: string;
   bind: string;
   peerBind: string;
+  /** Where the other controllers reach it. */
+  peerAddr: string;
   cloud: string;
   state: string;
 }
@@ -192,18 +221,19 @@
     zone: own.zone,
     bind: own.bind,
     peer_bind: own.peerBind,
-    seeds: all.filter((n) => n !== own).map((n) => ({ node: n.node, zone: n.zone, endpoint: n.peerBind })),
+    seeds: all.filter((n) => n !== own).map((n) => ({ node: n.node, zone: n.zone, endpoint: n.peerAddr })),
     external: { cloud: own.cloud, state: own.state },
     params: {
       initial_size: all.length,
       zones: p.zones,
+      regions: p.regions,
       skew_ms: 1000,
       teams: p.teams,
       objectives: p.objectives,
       workers: p.workers,
       state: p.state,
       cloud: p.cloud,
-      limits: { cores: 1, memory_mb: 250, max_sockets: 1000 },
+      limits: p.controllers,
     },
   });
 }
--- a/src/emulator/reporter.ts
+++ b/src/emulator/reporter.ts
@@ -1,5 +1,5 @@
-import type { Clock, Timer } from '../clock/clock.js';
-import type { Requester } from '../http/client.js';
+import { type Clock, pause, type Timer } from '../clock/clock.js';
+import type { HttpAnswer, Requester } from '../http/client.js';
 import { readRedirect, WORKER_PATHS } from '../wire/workers.js';
 import type { Random } from './random.js';
 import type { Worker } from './worker.js';
@@ -8,6 +8,18 @@
 const ANSWER_MS = 4000;
 const NEXT_MS = 1000;
 
+/** The links between a worker and the controllers. */
+export interface ReporterLinks {
+  /** Delay of a message to a controller, in milliseconds. */
+  delayMs(node: string): number;
+  /** Whether nothing passes to a controller and back. */
+  apart(node: string): boolean;
+  /** A report was answered. */
+  answered(report: object, answer: unknown): void;
+}
+
+const DIRECT: ReporterLinks = { delayMs: () => 0, apart: () => false, answered: () => undefined };
+
 /** A worker's reports to the controllers: one at a time, to one node at a time. */
 export class Reporter {
   /** No network: reports get no answer and commands do not arrive. */
@@ -26,6 +38,7 @@
     private readonly worker: Worker,
     private readonly nodes: readonly { node: string; addr: string }[],
     private readonly reportS: number,
+    private readonly links: ReporterLinks = DIRECT,
   ) {
     this.at = Math.floor(random.next() * nodes.length);
     this.schedule(0);
@@ -58,16 +71,7 @@
     const sent = this.sentAt;
     let wait = this.reportS * 1000 * this.random.between(0.75, 1.25);
     try {
-      if (this.cut) throw new Error('cut off');
-      const { addr } = this.nodes[this.at]!;
-      const reply = await this.http.request(
-        addr,
-        'POST',
-        WORKER_PATHS.report,
-        this.worker.report(),
-        ANSWER_MS,
-      );
-      if (this.cut) throw new Error('cut off');
+      const reply = await this.ask();
       if (reply.status === 200) this.worker.answer(reply.body, sent, session);
       else wait = this.turn(reply.status === 421 ? readRedirect(reply.body) : null);
     } catch {
@@ -77,6 +81,21 @@
     this.schedule(this.changed ? Math.min(wait, CHANGE_GAP_MS) : wait);
   }
 
+  /** Sends a report to the present node; fails when no answer arrives in time. */
+  private async ask(): Promise<HttpAnswer> {
+    const { node, addr } = this.nodes[this.at]!;
+    const unreached = () => this.cut || this.links.apart(node);
+    const delayMs = this.links.delayMs(node);
+    const report = this.worker.report();
+    if (delayMs > 0) await pause(this.clock, delayMs);
+    if (unreached()) throw new Error('cut off');
+    const reply = await this.http.request(addr, 'POST', WORKER_PATHS.report, report, ANSWER_MS);
+    if (delayMs > 0) await pause(this.clock, delayMs);
+    if (unreached()) throw new Error('cut off');
+    this.links.answered(report, reply.body);
+    return reply;
+  }
+
   /** Goes to another node; returns when. */
   private turn(to: string | null): number {
     const named = this.nodes.findIndex((n) => n.node === to);
--- a/src/emulator/state.ts
+++ b/src/emulator/state.ts
@@ -12,6 +12,7 @@
   writeTxnAnswer,
 } from '../wire/state.js';
 import { Bucket } from './bucket.js';
+import { bodyBytes } from './traffic.js';
 
 export interface Served {
   status: number;
@@ -33,6 +34,19 @@
   done: (s: Served) => void;
 }
 
+export type RequestKind = 'get' | 'list' | 'txn' | 'lease' | 'watch';
+
+export interface ObservedRequest {
+  kind: RequestKind;
+  /** Which caller it came from. */
+  from: string;
+  status: number;
+  requestBytes: number;
+  answerBytes: number;
+  /** Puts and deletes that it asked for. */
+  writes: number;
+}
+
 /** What stays of the service when it ends in good order. */
 export interface StoredState {
   revision: number;
@@ -63,6 +77,8 @@
   };
   /** Refused so far, by status. */
   readonly refused = { 400: 0, 429: 0 };
+  /** Sees each request that is answered or refused, with its kind and the size of its body and answer. */
+  observed: ((request: ObservedRequest) => void) | null = null;
   private readonly writes: Bucket;
   private readonly requests: Bucket;
   private revision = 0;
@@ -107,6 +123,37 @@
   }
 
   serve(method: string, path: string, body: unknown, from = ''): Served | Promise<Served> {
+    const served = this.answer(method, path, body, from);
+    if (!this.observed) return served;
+    if (!(served instanceof Promise)) return this.observe(path, body, from, served);
+    return served.then((s) => this.observe(path, body, from, s));
+  }
+
+  private observe(path: string, body: unknown, from: string, served: Served): Served {
+    const writes = path === '/txn' ? (readTxnRequest(body)?.writes.length ?? 0) : 0;
+    this.observed?.({
+      kind: kindOf(path),
+      from,
+      status: served.status,
+      requestBytes: bodyBytes(body),
+      answerBytes: bodyBytes(served.body),
+      writes,
+    });
+    return served;
+  }
+
+  /** Entries and bytes of keys and values under a prefix. */
+  stored(under: string): { entries: number; bytes: number } {
+    const total = { entries: 0, bytes: 0 };
+    for (const [key, item] of this.items) {
+      if (!key.startsWith(under)) continue;
+      total.entries++;
+      total.bytes += Buffer.byteLength(key) + bodyBytes(item.value);
+    }
+    return total;
+  }
+
+  private answer(method: string, path: string, body: unknown, from: string): Served | Promise<Served> {
     const watches = path.startsWith('/watch');
     if (!watches && (this.down || this.refusing.has(from))) return { status: 503, body: {} };
     if (!this.requests.take(1, this.limits.requestsPerSecond)) return this.refuse(429);
@@ -245,3 +292,10 @@
     });
   }
 }
+
+function kindOf(path: string): RequestKind {
+  if (path.startsWith('/watch')) return 'watch';
+  if (path === '/txn') return 'txn';
+  if (path.startsWith('/leases')) return 'lease';
+  return path.startsWith('/keys?') ? 'list' : 'get';
+}
--- a/src/load/play.ts
+++ b/src/load/play.ts
@@ -1,5 +1,5 @@
 // In this room: users and faults of a scenario on an emulated cluster, what becomes of them, and the rules they are held to.
-import { build, type Histogram } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
 import { Rejected, SpartrayClient, Unreachable } from '../client/client.js';
 import { type Clock, pause } from '../clock/clock.js';
 import type { LocalCluster } from '../emulator/local.js';
@@ -8,17 +8,9 @@
 import { HttpClient } from '../http/client.js';
 import { type JobSpec, KINDS, PRIORITIES } from '../wire/users.js';
 import { checkHistory, type UserEvent, type Violation } from './check.js';
-import type { Fault, JobClass, Scenario } from './scenario.js';
+import { ANY_TEAM, type Fault, type JobClass, type Scenario } from './scenario.js';
 import { type Share, sharesOf } from './served.js';
-
-export interface Spread {
-  count: number;
-  mean: number;
-  p50: number;
-  p90: number;
-  p99: number;
-  max: number;
-}
+import { histogram, type Spread, spread } from './spread.js';
 
 export interface ClassReport {
   name: string;
@@ -30,10 +22,14 @@
   refused: number;
   done: number;
   cancelled: number;
-  /** Accepted, and neither done nor cancelled in the end. */
+  /** Accepted, and neither done nor cancelled in the end; services run on, and are forgotten only by the rules. */
   lost: number;
   submitMs: Spread;
   startS: Spread;
+  /** From acceptance to the start of a job's first task; of a gang, of its last. */
+  waitS: Spread;
+  /** Share of the jobs that started whose wait was a second at most. */
+  withinSecond: number;
   finishS: Spread;
 }
 
@@ -49,6 +45,8 @@
   twice: number;
   violations: Violation[];
   spent: number;
+  /** Task starts in the second that had the most. */
+  startsPeak: number;
   /** Every second or so: seconds since the beginning, machines up, tasks on machines, jobs not over. */
   series: { at: number; machines: number; tasks: number; open: number }[];
   faults: { at: number; what: string }[];
@@ -62,31 +60,16 @@
   cancelled: number;
   submit: Histogram;
   start: Histogram;
+  wait: Histogram;
+  soon: number;
   finish: Histogram;
 }
 
 const POLL_MS = 5000;
 const SERIES_MS = 1000;
 const STRANGE_MS = 7000;
-function histogram(): Histogram {
-  return build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: 3_600_000,
-    numberOfSignificantValueDigits: 3,
-  });
-}
-
-function spread(h: Histogram, unit: number): Spread {
-  const at = (p: number) => h.getValueAtPercentile(p) / unit;
-  return {
-    count: h.totalCount,
-    mean: h.totalCount > 0 ? h.mean / unit : 0,
-    p50: at(50),
-    p90: at(90),
-    p99: at(99),
-    max: h.maxValue / unit,
-  };
-}
+/** Urgent work is expected to start within this of its acceptance. */
+const SOON_MS = 1000;
 
 /** Users and faults of a scenario on a cluster on this machine. */
 export class Load {
@@ -98,6 +81,7 @@
   private readonly jobs = new Map<string, JobSpec>();
   private readonly classOf = new Map<string, JobClass>();
   private readonly submittedAt = new Map<string, number>();
+  private readonly acceptedAt = new Map<string, number>();
   private readonly tallies = new Map<string, Tally>();
   private readonly startedJobs = new Set<string>();
   private readonly series: LoadReport['series'] = [];
@@ -114,14 +98,15 @@
   ) {
     this.clock = cluster.clock;
     this.random = new Random(scenario.seed);
-    this.http = new HttpClient(this.clock, { maxSockets: 400, bodyBytes: 1024 * 1024 });
+    this.http = new HttpClient(this.clock, { maxSockets: 2000, bodyBytes: 1024 * 1024 });
     this.client = new SpartrayClient(this.clock, this.http, {
       servers: [cluster.users],
       depot: cluster.depot,
     });
     for (const c of scenario.classes) {
-      const none = { submitted: 0, accepted: 0, refused: 0, done: 0, cancelled: 0 };
-      this.tallies.set(c.name, { ...none, submit: histogram(), start: histogram(), finish: histogram() });
+      const none = { submitted: 0, accepted: 0, refused: 0, done: 0, cancelled: 0, soon: 0 };
+      const times = { submit: histogram(), start: histogram(), wait: histogram(), finish: histogram() };
+      this.tallies.set(c.name, { ...none, ...times });
     }
   }
 
@@ -145,10 +130,11 @@
     for (let i = 0; i < c.at_start; i++) this.arrive(c);
     if (c.a_minute === 0) return;
     const random = new Random(this.scenario.seed * 31 + this.scenario.classes.indexOf(c));
-    let at = this.begun;
+    const until = this.begun + Math.min(c.until_s ?? Infinity, this.scenario.duration_s) * 1000;
+    let at = this.begun + c.from_s * 1000;
     for (;;) {
       at += random.gap(60_000 / c.a_minute);
-      if (at > this.begun + this.scenario.duration_s * 1000) return;
+      if (at > until) return;
       if (at > this.clock.now()) await pause(this.clock, at - this.clock.now());
       this.arrive(c);
     }
@@ -184,6 +170,7 @@
     t.accepted++;
     t.submit.recordValue(Math.max(1, Math.round(this.clock.now() - begun)));
     this.note(spec.id, 'accepted');
+    this.acceptedAt.set(spec.id, this.clock.now());
     if (cancelAfter !== null)
       this.clock.after(cancelAfter, () => void this.cancel(spec.id).catch(() => undefined));
     await this.follow(spec, t, begun);
@@ -229,7 +216,7 @@
     return {
       id: `wk-load-${this.scenario.seed}-${String(n).padStart(6, '0')}`,
       class: c.name,
-      team: c.team,
+      team: c.team === ANY_TEAM ? this.random.pick(this.platform.teams).name : c.team,
       kind: KINDS[c.shape],
       priority: PRIORITIES[c.urgency],
       tasks: this.random.pick(c.pieces),
@@ -285,6 +272,10 @@
         for (const r of reporters) r.cut = false;
       });
     }
+    const { network } = this.cluster;
+    if (f.what === 'cut_rack') end(network.cut({ kind: 'rack', zone: f.zone, rack: f.rack }));
+    if (f.what === 'cut_zone') end(network.cut({ kind: 'zone', zone: f.zone }));
+    if (f.what === 'cut_regions') end(network.cut({ kind: 'regions' }));
     if (f.what === 'die') for (const id of some) market.take(id);
     if (f.what === 'faulty') for (const id of some) tasks.faulty.add(id);
     if (f.what === 'reclaim')
@@ -323,16 +314,18 @@
     const classes = [...this.tallies].map(
       ([name, t]): ClassReport => ({
         name,
-        team: this.scenario.classes.find((c) => c.name === name)?.team ?? '',
+        team: this.classNamed(name)?.team ?? '',
         submitted: t.submitted,
         accepted: t.accepted,
         started: started.get(name) ?? 0,
         refused: t.refused,
         done: t.done,
         cancelled: t.cancelled,
-        lost: t.accepted - t.done - t.cancelled,
+        lost: this.classNamed(name)?.shape === 'standing' ? 0 : t.accepted - t.done - t.cancelled,
         submitMs: spread(t.submit, 1),
         startS: spread(t.start, 1000),
+        waitS: spread(t.wait, 1000),
+        withinSecond: t.wait.totalCount > 0 ? t.soon / t.wait.totalCount : 1,
         finishS: spread(t.finish, 1000),
       }),
     );
@@ -346,6 +339,7 @@
       twice: this.cluster.tasks.twice,
       violations: violations.map((x) => ({ ...x, at: Math.round((x.at - this.begun) / 100) / 10 })),
       spent: this.cluster.market.charge(),
+      startsPeak: this.startsPeak(),
       series: this.series,
       faults: this.faults,
     };
@@ -369,6 +363,31 @@
       const starts = c.shape === 'ensemble' ? [Math.max(...times)] : times;
       for (const at of starts)
         this.tallies.get(c.name)!.start.recordValue(Math.max(1, Math.round(at - begun)));
+      this.recordWait(id, c, c.shape === 'ensemble' ? Math.max(...times) : Math.min(...times));
+    }
+  }
+
+  private classNamed(name: string): JobClass | undefined {
+    return this.scenario.classes.find((c) => c.name === name);
+  }
+
+  private recordWait(id: string, c: JobClass, startedAt: number): void {
+    const accepted = this.acceptedAt.get(id);
+    if (accepted === undefined) return;
+    const tally = this.tallies.get(c.name)!;
+    const ms = Math.max(1, Math.round(startedAt - accepted));
+    tally.wait.recordValue(ms);
+    if (ms <= SOON_MS) tally.soon++;
+  }
+
+  /** The most task starts in any second. */
+  private startsPeak(): number {
+    const bySecond = new Map<number, number>();
+    for (const e of this.cluster.tasks.history) {
+      if (e.kind !== 'on') continue;
+      const second = Math.floor(e.at / 1000);
+      bySecond.set(second, (bySecond.get(second) ?? 0) + 1);
     }
+    return Math.max(0, ...bySecond.values());
   }
 }
--- /dev/null
+++ b/src/load/scalerun.ts
@@ -0,0 +1,96 @@
+import type { LocalCluster } from '../emulator/local.js';
+import type { Platform } from '../emulator/platform.js';
+import { HttpClient } from '../http/client.js';
+import { type LoneOptions, measureLoneWorker, type WorkerCost } from './lone.js';
+import { Measurement, type PhaseReport } from './measure.js';
+import { Load, type LoadReport } from './play.js';
+import { Propagation, type PropagationReport } from './propagation.js';
+import type { Sizes } from './scale.js';
+import type { Scenario } from './scenario.js';
+
+/** All that one run at a size has measured. Figures are of emulated machines on one computer. */
+export interface ScaleReport {
+  scenario: string;
+  sizes: Sizes;
+  phases: PhaseReport[];
+  load: LoadReport;
+  propagation: PropagationReport;
+  worker: WorkerCost[];
+}
+
+export interface ScaleRunOptions {
+  speed: number;
+  changeEvery: number;
+  /** Seconds a phase of the worker alone; 0 for none. */
+  loneS: number;
+  port: number;
+}
+
+/** Ports of the worker alone, behind those of the cluster. */
+const LONE_PORTS_AFTER = 4500;
+/** A controller that was killed or refused is not asked for changes while that lasts, and so long after. */
+const BACK_AFTER_S = 15;
+/** Tasks that a worker of the target size runs at once: 13,000 on 1,800. */
+const TASKS_PER_WORKER = 8;
+/** After the worker alone has begun or got its load, as far as its phases are not shorter. */
+const LONE_SETTLE_MS = 5000;
+
+/** One run at a size: load, faults, and what all roles use meanwhile. */
+export class ScaleRun {
+  private readonly load: Load;
+  private readonly measurement: Measurement;
+
+  constructor(
+    private readonly cluster: LocalCluster,
+    platform: Platform,
+    private readonly scenario: Scenario,
+    private readonly sizes: Sizes,
+  ) {
+    this.load = new Load(cluster, platform, scenario);
+    this.measurement = new Measurement(cluster.clock, cluster, scenario);
+    this.workers = platform.workers;
+  }
+
+  private readonly workers: Platform['workers'];
+
+  /** Plays the scenario; ends by itself when it is over. */
+  async run(name: string, options: ScaleRunOptions): Promise<ScaleReport> {
+    const { clock } = this.cluster;
+    const http = new HttpClient(clock, { maxSockets: 200, bodyBytes: 64 * 1024 });
+    const begun = clock.now();
+    const excluded = () => this.excluded((clock.now() - begun) / 1000);
+    const propagation = new Propagation(clock, http, this.cluster, excluded);
+    this.measurement.start();
+    const first = Math.min(...this.scenario.phases.map((p) => p.from_s), this.scenario.duration_s);
+    clock.after(first * 1000, () => void propagation.run(options.changeEvery));
+    const load = await this.load.run(name, options.speed, () => undefined);
+    const spread = await propagation.stop();
+    http.close();
+    const worker = options.loneS > 0 ? await measureLoneWorker(this.loneOptions(options)) : [];
+    const { phases } = this.measurement;
+    return { scenario: name, sizes: this.sizes, phases, load, propagation: spread, worker };
+  }
+
+  /** Controllers that a fault of the scenario keeps from their part at a moment. */
+  private excluded(atS: number): Set<string> {
+    const nodes = new Set<string>();
+    for (const f of this.scenario.faults) {
+      const ends = f.at_s + (f.what === 'kill' ? BACK_AFTER_S : f.for_s);
+      if (atS < f.at_s || atS > ends) continue;
+      if (f.what === 'kill') nodes.add(this.cluster.controllers[f.controller]?.node ?? '');
+    }
+    return nodes;
+  }
+
+  private loneOptions(options: ScaleRunOptions): LoneOptions {
+    return {
+      reportS: this.workers.report_s,
+      leaseS: this.workers.lease_s,
+      tasks: TASKS_PER_WORKER,
+      startsPerSecond: this.sizes.startsPerSecond / this.sizes.workers,
+      secondsPerPhase: options.loneS,
+      settleMs: Math.min(LONE_SETTLE_MS, options.loneS * 1000),
+      port: options.port + LONE_PORTS_AFTER,
+    };
+  }
+}
--- a/src/load/scenario.ts
+++ b/src/load/scenario.ts
@@ -9,6 +9,9 @@
 const text = v.pipe(v.string(), v.minLength(1));
 const flag = v.optional(v.boolean(), false);
 
+/** In place of a team's name: each job of the class is of any team. */
+export const ANY_TEAM = '*';
+
 const file = v.object({
   seed: v.optional(whole, 1),
   /** Arrivals stop then; what was accepted is waited for up to `drain_s` more. */
@@ -22,7 +25,12 @@
         shape: v.optional(v.picklist(['sweep', 'ensemble', 'standing']), 'sweep'),
         urgency: v.optional(v.picklist(['production', 'urgent', 'standard', 'low']), 'standard'),
         a_minute: v.optional(v.pipe(amount, v.maxValue(6000)), 0),
+        /** When its arrivals begin and stop; left out, those of the scenario. */
+        from_s: v.optional(amount, 0),
+        until_s: v.optional(positive),
         at_start: v.optional(v.pipe(whole, v.maxValue(1000)), 0),
+        /** In scaled runs: the jobs at the start have so many tasks together, as a share of the workers. */
+        fills: v.optional(v.pipe(amount, v.maxValue(1)), 0),
         pieces: v.pipe(v.array(v.pipe(whole, v.minValue(1))), v.minLength(1)),
         cpus: positive,
         gpus: v.optional(amount, 0),
@@ -41,6 +49,8 @@
     ),
     v.minLength(1),
   ),
+  /** Parts of the run that are measured on their own. */
+  phases: v.optional(v.array(v.object({ name: text, from_s: amount, until_s: positive })), []),
   faults: v.optional(
     v.array(
       v.object({
@@ -55,7 +65,13 @@
           'die',
           'faulty',
           'reclaim',
+          'cut_rack',
+          'cut_zone',
+          'cut_regions',
         ]),
+        /** Of a rack or zone that is cut off. */
+        zone: v.optional(v.string(), ''),
+        rack: v.optional(whole, 0),
         controller: v.optional(whole, 0),
         count: v.optional(v.pipe(whole, v.minValue(1)), 1),
         for_s: v.optional(positive, 10),
--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -20,6 +20,8 @@
 
 export class FrameReader {
   private buffer: Buffer = Buffer.alloc(0);
+  /** Bytes of the message that `feed` gave last, with its length. */
+  lastBytes = 0;
 
   /** Until `allowAll`, no frame may be longer than this. */
   constructor(private most = MAX_FRAME) {}
@@ -41,6 +43,7 @@
       if (this.buffer.length < 4 + length) break;
       const value: unknown = packr.unpack(this.buffer.subarray(4, 4 + length));
       this.buffer = this.buffer.subarray(4 + length);
+      this.lastBytes = 4 + length;
       if (typeof value !== 'object' || value === null) throw new Error('not a message');
       yield value as PeerMessage;
     }
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -225,3 +225,16 @@
     more,
   };
 }
+
+const healthBody = v.object({ revision: v.number() });
+
+/** The answer of a healthy controller: up to which revision of the state service it knows the cluster's records. */
+export function writeHealth(revision: number): object {
+  return { ok: true, revision };
+}
+
+/** The revision that a controller's health tells; null where it tells none. */
+export function readHealth(body: unknown): number | null {
+  const p = v.safeParse(healthBody, body);
+  return p.success ? p.output.revision : null;
+}
