--- a/src/api/routes.ts
+++ b/src/api/routes.ts
@@ -1,4 +1,4 @@
-// In this room: what users and workers ask over HTTP, and how it is answered.
+// This package: what users and workers ask over HTTP, and how it is answered.
 import type { Shown } from '../http/admission.js';
 import { bad, later, parseBody, wrongMethod } from '../http/replies.js';
 import type { HttpReply, HttpRequest } from '../http/server.js';
--- a/src/check/explore.ts
+++ b/src/check/explore.ts
@@ -1,4 +1,4 @@
-// In this room: all that can happen to a small model, looked at step by step; it drives the code that runs in production.
+// This package: all that can happen to a small model, looked at step by step; it drives the code that runs in production.
 
 export interface Model<S> {
   initial: S;
--- a/src/classad/ast.ts
+++ b/src/classad/ast.ts
@@ -1,4 +1,4 @@
-// In this room: ClassAd expressions: reading, printing, evaluating. Pure, and bounded whatever is read.
+// This package: ClassAd expressions: reading, printing, evaluating. Pure, and bounded whatever is read.
 
 /** What an expression may cost: a hostile one ends in an error, never in a stall. */
 export const LIMITS = {
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -1,4 +1,4 @@
-// In this room: what users do: submit as the protocol says they do, ask, wait, cancel.
+// This package: what users do: submit as the protocol says they do, ask, wait, cancel.
 import { type Clock, pause } from '../clock/clock.js';
 import { type HttpAnswer, HttpFailure, type Requester } from '../http/client.js';
 import {
--- a/src/clock/clock.ts
+++ b/src/clock/clock.ts
@@ -1,4 +1,4 @@
-// In this room: time, and nothing that uses it.
+// This package: time, and nothing that uses it.
 /** Time as the service sees it; tests put a fake one in its place. */
 export interface Clock {
   /** Steady milliseconds since an arbitrary start. */
--- a/src/cloud/cloud.ts
+++ b/src/cloud/cloud.ts
@@ -1,4 +1,4 @@
-// In this room: dealings with the cloud: its requests, within its rate.
+// This package: dealings with the cloud: its requests, within its rate.
 import type { Clock } from '../clock/clock.js';
 import { HttpFailure, type Requester } from '../http/client.js';
 import { Limiter, Overloaded } from '../state/limiter.js';
--- a/src/condor/macros.ts
+++ b/src/condor/macros.ts
@@ -1,4 +1,4 @@
-// In this room: HTCondor's submit files: their language, what a process asks for, and clusters of them as jobs.
+// This package: HTCondor's submit files: their language, what a process asks for, and clusters of them as jobs.
 
 /** Something wrong in a submit file; lines and columns count from 1. */
 export class SubmitError extends Error {
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -1,4 +1,4 @@
-// In this room: what operators and the platform set, validated, and logging.
+// This package: what operators and the platform set, validated, and logging.
 import { readFileSync } from 'node:fs';
 import { parse } from 'smol-toml';
 import * as v from 'valibot';
--- a/src/emulator/local.ts
+++ b/src/emulator/local.ts
@@ -205,6 +205,14 @@
     this.store();
   }
 
+  /** The controller that is present the longest, by its presence in the state service; it watches for others. */
+  oldestController(): number {
+    const versions = this.controllers.map(
+      (c) => this.state.items.get(`c/node/${c.node}`)?.version ?? Infinity,
+    );
+    return versions.indexOf(Math.min(...versions));
+  }
+
   /** Kills a controller with no warning; it comes back by itself. */
   kill(index: number): void {
     this.controllers[index]?.process?.kill('SIGKILL');
--- a/src/emulator/state.ts
+++ b/src/emulator/state.ts
@@ -1,4 +1,4 @@
-// In this room: stand-ins for all that a cluster needs beside its controllers, and what plays with them.
+// This package: stand-ins for all that a cluster needs beside its controllers, and what plays with them.
 import type { Clock } from '../clock/clock.js';
 import {
   type Change,
--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -23,6 +23,8 @@
   requestsPerSecond: number;
   /** Nodes that are present and pass changes on, as this node's copy of the keys shows them. */
   present: () => Present[];
+  /** Whether the state service serves this node at present, as far as it knows by other requests. */
+  served: () => boolean;
 }
 
 /** A source answers after this at the latest, with changes or without; so much longer is waited for the answer. */
@@ -73,7 +75,7 @@
     private readonly logger: Log,
     private readonly options: FeedOptions,
   ) {
-    this.followers = new Followers(clock, this.log);
+    this.followers = new Followers(clock, this.log, options.served);
     this.suspects = new Suspects(clock);
   }
 
@@ -237,8 +239,8 @@
   }
 
   private async compareOnce(): Promise<void> {
-    const { candidates } = this.order();
-    const others = candidates.filter((c) => c !== this.following && this.mesh?.connected(c));
+    const { witnesses } = this.order();
+    const others = witnesses.filter((c) => c !== this.following && this.mesh?.connected(c));
     const node = this.nextWitness(others);
     if (node === null) {
       this.witness = null;
--- a/src/feed/followers.ts
+++ b/src/feed/followers.ts
@@ -19,8 +19,17 @@
   constructor(
     private readonly clock: Clock,
     private readonly log: ChangeLog,
+    private readonly served: () => boolean,
   ) {}
 
+  /**
+   * A node that is cut off from the state service keeps its watch, and learns nothing by it: two such sources would keep
+   * all their followers where they are.
+   */
+  private get passesOn(): boolean {
+    return this.open && this.served();
+  }
+
   /** Whether this node passes changes on: only while it watches the state service itself. */
   serve(open: boolean): void {
     this.open = open;
@@ -34,7 +43,7 @@
   }
 
   head(): HeadAnswer {
-    return { lastChange: this.open ? this.log.lastChange : null };
+    return { lastChange: this.passesOn ? this.log.lastChange : null };
   }
 
   /** Answers at once when there are changes, or when it waited as long as it was asked to. */
@@ -50,7 +59,7 @@
   }
 
   private answerNow(since: number): ChangesAnswer {
-    if (!this.open) return { refused: 'follows' };
+    if (!this.passesOn) return { refused: 'follows' };
     return this.log.after(since) ?? { refused: 'gap' };
   }
 
--- a/src/feed/messages.ts
+++ b/src/feed/messages.ts
@@ -20,7 +20,7 @@
 ]);
 const batch = v.object({ since: v.number(), revision: v.number(), changes: v.array(change) });
 
-/** `follows`: the node does not watch the state service itself. `gap`: its changes do not reach back so far. */
+/** `follows`: the node does not watch the state service itself, or is not served by it. `gap`: its changes do not reach back so far. */
 const refusal = v.object({ refused: v.picklist(['follows', 'gap']) });
 const changesAnswer = v.union([batch, refusal]);
 export type ChangesAnswer = Batch | v.InferOutput<typeof refusal>;
--- a/src/feed/sources.ts
+++ b/src/feed/sources.ts
@@ -13,6 +13,8 @@
   position: number;
   /** Whom this node may follow, in the order in which it tries them; of two that watch, each may follow the other. */
   candidates: string[];
+  /** Whose progress tells this node whether its own source is behind, in the order in which it asks them. */
+  witnesses: string[];
   /** Whether this node is one of those that watch. */
   source: boolean;
   /** Nodes of all regions that are first in theirs. */
@@ -39,13 +41,17 @@
   const mine = byRegion.get(regionOf(self)) ?? [];
   const at = mine.indexOf(self);
   const position = at < 0 ? mine.length : at;
-  const before = mine.slice(0, Math.max(position, SOURCES_PER_REGION)).filter((node) => node !== self);
+  // A source that is cut off follows the other one, or whoever has taken their place.
+  const known = position < SOURCES_PER_REGION ? 2 * SOURCES_PER_REGION : position;
+  const own = mine.slice(0, known).filter((node) => node !== self);
   const elsewhere: string[] = [];
   for (const [region, nodes] of byRegion)
     if (region !== regionOf(self)) elsewhere.push(...nodes.slice(0, SOURCES_PER_REGION));
   return {
     position,
-    candidates: [...before, ...elsewhere],
+    candidates: [...own, ...elsewhere],
+    // First sources know soonest. The second one of a region looks whether its first one is there.
+    witnesses: position === 1 ? [...own, ...elsewhere] : [...elsewhere, ...own],
     source: position < SOURCES_PER_REGION,
     firsts: Math.max(1, byRegion.size),
   };
--- a/src/http/admission.ts
+++ b/src/http/admission.ts
@@ -16,7 +16,7 @@
   /** A user's request is being answered. */
   served: boolean;
   /** Ends the connection. */
-  readonly vacate: () => void;
+  readonly evict: () => void;
 }
 
 /** This share of the places is never held by users' requests that are being answered: workers and health checks come in. */
@@ -34,14 +34,14 @@
   /** Turned away at the door. */
   refused: number;
   /** Ended to make room for others. */
-  vacated: number;
+  evicted: number;
   /** Users' requests answered 503, since too many were being answered. */
   deferred: number;
 }
 
 /** Pure bookkeeping: no sockets, no clock. Every step costs as much as there are addresses of strangers, at most. */
 export class Admission {
-  readonly counts: AdmissionCounts = { refused: 0, vacated: 0, deferred: 0 };
+  readonly counts: AdmissionCounts = { refused: 0, evicted: 0, deferred: 0 };
   /** By address, the oldest first. */
   private readonly strangers = new Map<string, Set<Seat>>();
   /** In the order of their last requests, the longest idle first. */
@@ -65,7 +65,7 @@
   }
 
   /** A place for a connection that has just come, or null when it has to go. */
-  enter(address: string, vacate: () => void): Seat | null {
+  enter(address: string, evict: () => void): Seat | null {
     const own = this.strangers.get(address);
     if (own && own.size >= this.strangersMost && !this.dropOldest(own)) {
       // All of them have come this moment and may have requests on their way. More are taken only where places are free.
@@ -80,7 +80,7 @@
       looked: false,
       engaged: false,
       served: false,
-      vacate,
+      evict,
     };
     this.used++;
     const set = this.strangers.get(address);
@@ -151,9 +151,9 @@
   }
 
   private drop(seat: Seat): true {
-    this.counts.vacated++;
+    this.counts.evicted++;
     this.leave(seat);
-    seat.vacate();
+    seat.evict();
     return true;
   }
 
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,4 +1,4 @@
-// In this room: HTTP/1.1 on sockets: parser, server, client, and who gets a place; nothing of what is asked.
+// This package: HTTP/1.1 on sockets: parser, server, client, and who gets a place; nothing of what is asked.
 import net from 'node:net';
 import type { Clock } from '../clock/clock.js';
 import { Admission, type AdmissionCounts, type Seat, type Shown } from './admission.js';
@@ -96,7 +96,7 @@
   private readonly admission: Admission;
   private sweptAt: number;
   private toldAt: number;
-  private told: AdmissionCounts = { refused: 0, vacated: 0, deferred: 0 };
+  private told: AdmissionCounts = { refused: 0, evicted: 0, deferred: 0 };
   private closed = false;
 
   constructor(
@@ -299,14 +299,14 @@
   private tell(now: number): void {
     if (now - this.toldAt < TELL_MS) return;
     this.toldAt = now;
-    const { refused, vacated, deferred } = this.admission.counts;
+    const { refused, evicted, deferred } = this.admission.counts;
     const before = this.told;
-    if (refused === before.refused && vacated === before.vacated && deferred === before.deferred) return;
-    this.told = { refused, vacated, deferred };
+    if (refused === before.refused && evicted === before.evicted && deferred === before.deferred) return;
+    this.told = { refused, evicted, deferred };
     this.options.onShort?.(
       {
         refused: refused - before.refused,
-        vacated: vacated - before.vacated,
+        evicted: evicted - before.evicted,
         deferred: deferred - before.deferred,
       },
       this.open,
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -1,4 +1,4 @@
-// In this room: jobs, their tasks and their records, as their owner and the state service have them.
+// This package: jobs, their tasks and their records, as their owner and the state service have them.
 import type { Match } from '../plan/model.js';
 import type { Amounts } from '../plan/profile.js';
 import type { JobSpec, JobStatus } from '../wire/users.js';
--- a/src/keys/keys.ts
+++ b/src/keys/keys.ts
@@ -1,4 +1,4 @@
-// In this room: the layout of the state service: keys, and the records that belong to no other room.
+// This package: the layout of the state service: keys, and the records that belong to no other package.
 import * as v from 'valibot';
 
 /** The layout of the service's records in the state service. */
@@ -15,9 +15,9 @@
   machines: 'c/m/',
   machine: (id: string) => `c/m/${id}`,
   /** Questions to owners that cannot be reached directly, and their answers. */
-  mail: 'c/mail/',
+  requests: 'c/mail/',
   teams: 'c/teams',
-  /** The rest of a parting of teams that is too long for one value. */
+  /** The rest of an assignment of teams that is too long for one value. */
   moreTeams: (n: number) => `c/teams/${n}`,
   /** What a node's newest version understands; stays when the node is away. */
   speaks: (name: string) => `c/speaks/${name}`,
@@ -87,10 +87,12 @@
 }
 
 /** Which shard each team belongs to, from all records that hold it; null when teams have not been parted. */
-export function readParting(entries: ReadonlyMap<string, { value: unknown }>): Record<string, number> | null {
+export function readTeamAssignment(
+  entries: ReadonlyMap<string, { value: unknown }>,
+): Record<string, number> | null {
   const first = entries.get(KEYS.teams);
-  let parting = first ? readTeams(first.value) : null;
-  for (let n = 1; parting && entries.has(KEYS.moreTeams(n)); n++)
-    parting = { ...readTeams(entries.get(KEYS.moreTeams(n))!.value), ...parting };
-  return parting;
+  let assignment = first ? readTeams(first.value) : null;
+  for (let n = 1; assignment && entries.has(KEYS.moreTeams(n)); n++)
+    assignment = { ...readTeams(entries.get(KEYS.moreTeams(n))!.value), ...assignment };
+  return assignment;
 }
--- a/src/load/scalerun.ts
+++ b/src/load/scalerun.ts
@@ -28,8 +28,8 @@
 
 /** Ports of the worker alone, behind those of the cluster. */
 const LONE_PORTS_AFTER = 4500;
-/** A controller that was killed or refused is not asked for changes while that lasts, and so long after. */
-const BACK_AFTER_S = 15;
+/** A controller that was killed is not asked for changes for so long. */
+const BACK_AFTER_MS = 15_000;
 /** Tasks that a worker of the target size runs at once: 13,000 on 1,800. */
 const TASKS_PER_WORKER = 8;
 /** After the worker alone has begun or got its load, as far as its phases are not shorter. */
@@ -57,8 +57,7 @@
   async run(name: string, options: ScaleRunOptions): Promise<ScaleReport> {
     const { clock } = this.cluster;
     const http = new HttpClient(clock, { maxSockets: 200, bodyBytes: 64 * 1024 });
-    const begun = clock.now();
-    const excluded = () => this.excluded((clock.now() - begun) / 1000);
+    const excluded = () => this.excluded();
     const propagation = new Propagation(clock, http, this.cluster, excluded);
     this.measurement.start();
     const first = Math.min(...this.scenario.phases.map((p) => p.from_s), this.scenario.duration_s);
@@ -71,14 +70,12 @@
     return { scenario: name, sizes: this.sizes, phases, load, propagation: spread, worker };
   }
 
-  /** Controllers that a fault of the scenario keeps from their part at a moment. */
-  private excluded(atS: number): Set<string> {
+  /** Controllers that were killed and are not back yet. */
+  private excluded(): Set<string> {
+    const now = this.cluster.clock.now();
     const nodes = new Set<string>();
-    for (const f of this.scenario.faults) {
-      const ends = f.at_s + (f.what === 'kill' ? BACK_AFTER_S : f.for_s);
-      if (atS < f.at_s || atS > ends) continue;
-      if (f.what === 'kill') nodes.add(this.cluster.controllers[f.controller]?.node ?? '');
-    }
+    for (const [controller, at] of this.load.killed)
+      if (now - at < BACK_AFTER_MS) nodes.add(this.cluster.controllers[controller]!.node);
     return nodes;
   }
 
--- a/src/load/scenario.ts
+++ b/src/load/scenario.ts
@@ -68,6 +68,8 @@
           'cut_rack',
           'cut_zone',
           'cut_regions',
+          'kill_oldest',
+          'refuse_oldest',
         ]),
         /** Of a rack or zone that is cut off. */
         zone: v.optional(v.string(), ''),
--- a/src/names/names.ts
+++ b/src/names/names.ts
@@ -1,4 +1,4 @@
-// In this room: names as dense indices.
+// This package: names as dense indices.
 /** Maps names to dense indices, in the order in which they are first seen. */
 export class NameTable {
   private readonly byName = new Map<string, number>();
--- a/src/overflow/lending.ts
+++ b/src/overflow/lending.ts
@@ -1,4 +1,4 @@
-// In this room: jobs lent to partner clusters: who may run one, and whose answer counts. Pure; no I/O yet.
+// This package: jobs lent to partner clusters: who may run one, and whose answer counts. Pure; no I/O yet.
 
 /**
  * One job that may run at home or at a partner. Both clusters keep a durable record of it; every function here takes a
--- a/src/peer/mesh.ts
+++ b/src/peer/mesh.ts
@@ -1,4 +1,4 @@
-// In this room: messages between controllers; nothing of what they say.
+// This package: messages between controllers; nothing of what they say.
 import net from 'node:net';
 import type { Clock, Timer } from '../clock/clock.js';
 import type { Endpoint, Peer } from '../config/settings.js';
--- a/src/plan/plan.ts
+++ b/src/plan/plan.ts
@@ -1,4 +1,4 @@
-// In this room: the plan: pure functions of machines and jobs, no I/O.
+// This package: the plan: pure functions of machines and jobs, no I/O.
 import type { Booking, KeptPlace, PlanJob, PlanMachine, TeamCap } from './model.js';
 import { type Amounts, fitCount, Profile } from './profile.js';
 
--- a/src/shard/blame.ts
+++ b/src/shard/failures.ts
@@ -16,7 +16,7 @@
  * growing intervals, and what it does says nothing of machines; until it succeeds it is no reason to rent, to stop other
  * work or to hold a guarantee. A machine under suspicion is closed for a while, and is given back when it goes on.
  */
-export class Blame {
+export class FailureTracker {
   /** Machines by the jobs that have failed there since anything succeeded there. */
   private readonly byMachine = new Map<string, Set<string>>();
 
--- a/src/shard/outlook.ts
+++ b/src/shard/planinput.ts
@@ -9,7 +9,7 @@
 import type { World } from '../world/world.js';
 import type { Estimates } from './estimates.js';
 
-export interface OutlookHooks {
+export interface PlanInputHooks {
   /** Whose a task is and what it takes; null when nobody remembers. */
   useOf(h: Held): { team: number; need: Amounts } | null;
   /** Whether a machine is on its way to another shard or back to the cloud. */
@@ -22,12 +22,12 @@
 }
 
 /** A shard's machines and jobs as the plan sees them. */
-export class Outlook {
+export class PlanInput {
   constructor(
     private readonly world: World,
     private readonly fleet: Fleet,
     private readonly estimates: Estimates,
-    private readonly hooks: OutlookHooks,
+    private readonly hooks: PlanInputHooks,
   ) {}
 
   machines(now: number): { machines: PlanMachine[]; refs: (Machine | null)[] } {
--- a/src/shard/planner.ts
+++ b/src/shard/planner.ts
@@ -11,7 +11,7 @@
 import { Aims } from './aims.js';
 import type { Demand } from './demand.js';
 import type { Estimates } from './estimates.js';
-import { book, type Outlook } from './outlook.js';
+import { book, type PlanInput } from './planinput.js';
 import type { Preemption } from './preemption.js';
 import type { Starts } from './starts.js';
 import type { JobTable } from './table.js';
@@ -67,7 +67,7 @@
     private readonly table: JobTable,
     private readonly fleet: Fleet,
     private readonly estimates: Estimates,
-    private readonly outlook: Outlook,
+    private readonly planInput: PlanInput,
     private readonly waiting: Waiting,
     private readonly supply: Supply,
     private readonly starts: Starts,
@@ -152,7 +152,7 @@
 
   /** What a turn has to be booked; null when that is nothing. */
   private planned({ job, part }: Turn, now: number): PlanJob | null {
-    const p = this.outlook.job(job, now);
+    const p = this.planInput.job(job, now);
     if (!p || part === 'all') return p;
     const tasks = part === 'first' ? p.tasks.slice(0, 1) : p.tasks.slice(job.places.size > 0 ? 0 : 1);
     return tasks.length > 0 ? { ...p, tasks } : null;
@@ -208,7 +208,7 @@
     const plan = this.admissionPlan(job.priority, now);
     const mark = plan.bookings.length;
     // A job that waits begins no earlier than what it waits for is planned to end.
-    const p = this.outlook.job(job, now, needs.size > 0 ? this.waiting.releaseAt(needs, now) : null)!;
+    const p = this.planInput.job(job, now, needs.size > 0 ? this.waiting.releaseAt(needs, now) : null)!;
     let dueS = job.spec.deadlineS;
     if (dueS !== null) {
       const finish = plan.book({ ...p, deadline: now / 1000 + dueS });
@@ -236,12 +236,12 @@
   private admissionPlan(priority: number, now: number): Plan {
     const known = this.admissions.get(priority);
     if (known && now - known.at < ADMIT_FRESH_MS) return known.plan;
-    const { machines, refs } = this.outlook.machines(now);
-    const places = this.outlook.keptPlaces(this.lastPlan, refs);
+    const { machines, refs } = this.planInput.machines(now);
+    const places = this.planInput.keptPlaces(this.lastPlan, refs);
     for (const o of this.supply.options(now)) {
-      for (let i = 0; i < 2; i++) machines.push(this.outlook.virtual(o, (now + o.bootS * 1100) / 1000));
+      for (let i = 0; i < 2; i++) machines.push(this.planInput.virtual(o, (now + o.bootS * 1100) / 1000));
     }
-    const plan = this.outlook.plan(now, machines);
+    const plan = this.planInput.plan(now, machines);
     for (const turn of this.inOrder()) {
       if (turn.priority < priority) break;
       const p = turn.job.notBefore > now ? null : this.planned(turn, now);
@@ -249,7 +249,7 @@
     }
     for (const other of this.table.jobs.values()) {
       if (other.waitsFor.size === 0 || other.doomed || other.priority < priority) continue;
-      const p = this.outlook.job(other, now, this.waiting.releaseAt(other.waitsFor, now));
+      const p = this.planInput.job(other, now, this.waiting.releaseAt(other.waitsFor, now));
       if (p && plan.looks < LOOKS_MOST) plan.book(p);
     }
     // A plan that took long to make serves longer.
@@ -260,13 +260,13 @@
   }
 
   schedule(now: number): void {
-    const { machines, refs } = this.outlook.machines(now);
-    const plan = this.outlook.plan(now, machines);
+    const { machines, refs } = this.planInput.machines(now);
+    const plan = this.planInput.plan(now, machines);
     const unplaced = new Set<Job>();
     const byOrder = new Map<number, Job>();
     // Now and then all is booked anew, so that work moves up into room that has come free; between, only the next jobs.
     const anew = now >= this.bookAnewAt;
-    const places = anew ? null : this.outlook.keptPlaces(this.lastPlan, refs);
+    const places = anew ? null : this.planInput.keptPlaces(this.lastPlan, refs);
     for (const turn of this.inOrder()) {
       const { job } = turn;
       if (job.notBefore > now) continue;
--- a/src/shard/preemption.ts
+++ b/src/shard/preemption.ts
@@ -13,10 +13,10 @@
 const PREEMPT_AGAIN_MS = 1500;
 /** A machine promised to another shard is cleared by then, or kept. */
 const PROMISE_MS = 15_000;
-/** A machine is ceded when its tasks end within this, and so many at a time. */
-const CEDE_WITHIN_MS = 20_000;
+/** A machine is reserved when its tasks end within this, and so many at a time. */
+const RESERVE_WITHIN_MS = 20_000;
 const CEDED_AT_ONCE = 12;
-const CEDE_KEEPS = 40;
+const RESERVE_KEEPS = 40;
 /** So many waiting jobs are looked at in one plan when room is made for urgent work. */
 const PREEMPT_JOBS = 6;
 
@@ -29,13 +29,13 @@
   moving(id: string): boolean;
   /** Gives a machine that was cleared to the shard that it was promised to. */
   give(id: string, to: number): Promise<boolean>;
-  stir(): void;
+  requestPlan(): void;
 }
 
 /** Stops lesser work for more urgent work, in a shard and for other shards. */
 export class Preemption {
   /** Machines that are being cleared for other shards. */
-  readonly promised = new Map<string, { to: number; until: number; ceded?: boolean }>();
+  readonly promised = new Map<string, { to: number; until: number; reserved?: boolean }>();
   private readonly preemptedAt = new Map<string, number>();
 
   constructor(
@@ -120,7 +120,7 @@
   }
 
   /** Clears a machine for another shard's more urgent work. False when that is not to be. */
-  vacate(id: string, to: number, priority: number): boolean {
+  clearMachine(id: string, to: number, priority: number): boolean {
     const m = this.fleet.machines.get(id);
     if (!m || !this.hooks.ready() || this.promised.has(id) || !this.softTo(m, priority)) return false;
     const now = this.world.clock.now();
@@ -128,7 +128,7 @@
     this.log.info({ machine: id, to, held: m.held.size }, 'clearing a machine for another shard');
     for (const h of m.held.values()) this.fleet.halt(h, (this.jobs.get(h.job)?.spec.saveS ?? 0) + 1);
     this.fleet.pushStops();
-    this.hooks.stir();
+    this.hooks.requestPlan();
     return true;
   }
 
@@ -136,12 +136,12 @@
    * Promises the machine that is empty soonest to a shard where urgent work waits longer: nothing is stopped, but nothing
    * more starts there.
    */
-  cede(to: number, need: Need, zone: string, endOf: (h: Held) => number): boolean {
+  reserveMachine(to: number, need: Need, zone: string, endOf: (h: Held) => number): boolean {
     if (!this.hooks.ready()) return false;
     const now = this.world.clock.now();
     const { types, zones } = this.world.names;
     let promises = 0;
-    for (const p of this.promised.values()) if (p.ceded) promises++;
+    for (const p of this.promised.values()) if (p.reserved) promises++;
     if (promises >= CEDED_AT_ONCE) return false;
     let best: { m: Machine; cost: number } | null = null;
     let fitting = 0;
@@ -158,7 +158,7 @@
       if (this.promised.has(m.id) || this.hooks.moving(m.id)) continue;
       let end = now;
       for (const h of m.held.values()) if (h.state !== 'exited') end = Math.max(end, endOf(h));
-      if (end > now + CEDE_WITHIN_MS) continue;
+      if (end > now + RESERVE_WITHIN_MS) continue;
       // Machines without unneeded GPUs and in the zone of the other shard's owner first.
       const cost =
         end -
@@ -168,10 +168,13 @@
       if (!best || cost < best.cost) best = { m, cost };
     }
     // Where few machines fit, the moments in which one of them stands empty cost more than an even wait is worth.
-    if (!best || fitting < CEDE_KEEPS) return false;
-    this.promised.set(best.m.id, { to, until: now + CEDE_WITHIN_MS * 2, ceded: true });
-    this.log.info({ machine: best.m.id, to, held: best.m.held.size }, 'ceding a machine to another shard');
-    this.hooks.stir();
+    if (!best || fitting < RESERVE_KEEPS) return false;
+    this.promised.set(best.m.id, { to, until: now + RESERVE_WITHIN_MS * 2, reserved: true });
+    this.log.info(
+      { machine: best.m.id, to, held: best.m.held.size },
+      'reserving a machine for another shard',
+    );
+    this.hooks.requestPlan();
     return true;
   }
 
--- a/src/shard/progress.ts
+++ b/src/shard/progress.ts
@@ -5,8 +5,8 @@
 import type { Fleet, GoneWhy } from '../workers/fleet.js';
 import { type Held, type Machine, noteImage } from '../workers/machine.js';
 import type { World } from '../world/world.js';
-import type { Blame } from './blame.js';
 import type { Estimates } from './estimates.js';
+import type { FailureTracker } from './failures.js';
 import type { JobTable } from './table.js';
 
 /** Completed tasks of a job are stored no more often than this, until the last one. */
@@ -16,7 +16,7 @@
 
 export interface ProgressHooks {
   stopped(): boolean;
-  stir(): void;
+  requestPlan(): void;
   lostOwnership(): Error;
   /** An attempt is surely no longer on its machine, and nothing of it is still to be stored. */
   left(job: Job, h: Held): void;
@@ -38,7 +38,7 @@
     private readonly table: JobTable,
     private readonly records: JobRecords,
     private readonly estimates: Estimates,
-    private readonly blame: Blame,
+    private readonly failures: FailureTracker,
     private readonly log: Log,
     private readonly hooks: ProgressHooks,
   ) {}
@@ -65,7 +65,7 @@
     } else {
       this.changed(h);
     }
-    this.hooks.stir();
+    this.hooks.requestPlan();
   }
 
   private noteAttempt(job: Job, h: Held): void {
@@ -89,7 +89,7 @@
     this.noteImageOf(job, h);
     if (h.state === 'exited') this.exited(job, h);
     else if (h.state === 'running') this.runs(job, h);
-    this.hooks.stir();
+    this.hooks.requestPlan();
   }
 
   private runs(job: Job, h: Held): void {
@@ -109,7 +109,7 @@
       'task exited',
     );
     if (h.cause === 'done') {
-      this.blame.succeeded(job, m);
+      this.failures.succeeded(job, m);
       if (h.runningAt !== null && h.exitedAt !== null) {
         this.estimates.learn(job, (h.exitedAt - h.runningAt) / 1000);
         this.hooks.learnt(job);
@@ -124,7 +124,7 @@
       return;
     }
     h.settled = true;
-    if (h.cause === 'error') this.blame.failed(job, m, now);
+    if (h.cause === 'error') this.failures.failed(job, m, now);
     if (h.cause === 'no_room') m.closedUntil = Math.max(m.closedUntil, now + 4000);
     if (h.cause === 'busy' || h.cause === 'unknown') job.notBefore = Math.max(job.notBefore, now + 3000);
     this.loosenGang(job);
@@ -145,7 +145,7 @@
     if (!job) return;
     this.leave(job, h);
     this.loosenGang(job);
-    this.hooks.stir();
+    this.hooks.requestPlan();
   }
 
   /**
@@ -248,6 +248,6 @@
     this.fleet.pushStops();
     this.log.info({ job: id, status }, 'job over');
     this.hooks.over(job, status);
-    this.hooks.stir();
+    this.hooks.requestPlan();
   }
 }
--- a/src/shard/questions.ts
+++ b/src/shard/questions.ts
@@ -22,7 +22,7 @@
   ready(): boolean;
   entitled(): boolean;
   lostOwnership(): Error;
-  stir(): void;
+  requestPlan(): void;
 }
 
 /** What users ask of a shard's owner: to accept a job, how it stands, to cancel it. */
@@ -101,7 +101,7 @@
         },
         'job accepted',
       );
-      this.hooks.stir();
+      this.hooks.requestPlan();
       if (!needs.cancelled) return { kind: 'accepted' };
       this.progress.end(trial, await this.catchLoss(this.records.finish(trial, 'cancelled')));
       return { kind: 'accepted', cancelled: true };
@@ -134,7 +134,7 @@
     this.check();
     if (!loaded) return this.table.known(id);
     if (!this.table.endedAs(id) && !this.table.jobs.has(id)) this.waiting.add([this.progress.adopt(loaded)]);
-    this.hooks.stir();
+    this.hooks.requestPlan();
     return this.table.known(id);
   }
 
--- a/src/shard/shard.ts
+++ b/src/shard/shard.ts
@@ -1,4 +1,4 @@
-// In this room: one shard as its owner has it: acceptance, starts, preemption, demand, estimates, blame.
+// This package: one shard as its owner has it: acceptance, starts, preemption, demand, estimates, failures.
 import { pause } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
 import { partSockets } from '../config/settings.js';
@@ -18,12 +18,12 @@
 import type { Machine } from '../workers/machine.js';
 import type { World } from '../world/world.js';
 import type { Others, StatusAnswer, SubmitAnswer } from './answers.js';
-import { Blame } from './blame.js';
 import { Demand } from './demand.js';
 import { Draining } from './draining.js';
 import { Estimates } from './estimates.js';
+import { FailureTracker } from './failures.js';
 import { Inheritance } from './inheritance.js';
-import { Outlook } from './outlook.js';
+import { PlanInput } from './planinput.js';
 import { Planner } from './planner.js';
 import { Preemption } from './preemption.js';
 import { Progress } from './progress.js';
@@ -45,13 +45,13 @@
   private readonly table: JobTable;
   private readonly records: JobRecords;
   private readonly estimates: Estimates;
-  private readonly outlook: Outlook;
+  private readonly planInput: PlanInput;
   private readonly planner: Planner;
   private readonly demand: Demand;
   private readonly supply: Supply;
   private readonly preemption: Preemption;
   private readonly starts: Starts;
-  private readonly blame: Blame;
+  private readonly failures: FailureTracker;
   private readonly waiting: Waiting;
   private readonly progress: Progress;
   private readonly questions: Questions;
@@ -63,7 +63,7 @@
   private readonly unseen: Unseen;
   private loaded = false;
   private stopped = false;
-  private stirred = false;
+  private planRequested = false;
   private ticking = false;
   /** Before this moment there is no other plan. */
   private planNotBefore = 0;
@@ -102,7 +102,7 @@
       session: (m) => this.telling?.machine(m),
       announce: (held) =>
         this.keeper?.announce(held.map((h) => ({ job: h.job, machine: h.machine.id }))) ?? null,
-      stir: () => this.stir(),
+      requestPlan: () => this.requestPlan(),
     });
     this.unseen = new Unseen(world, this.fleet, taken?.warmth ?? null, this.log, this.claimedAt);
     this.estimates = new Estimates(world, jobs);
@@ -113,23 +113,25 @@
       recall: (id) => this.questions.recall(id),
       ask: (shard, claims) => others.askNeeded(shard, index, claims),
       tell: (shard, id, status) => others.tellOver(shard, id, status),
-      released: () => this.stir(),
+      released: () => this.requestPlan(),
       doomed: () => this.questions.endDoomed(),
       expectedEnd: (job, now) => this.planner.expectedEnd(job, now),
       runS: (spec) => this.estimates.runS(spec),
     });
-    this.blame = new Blame(jobs, this.fleet.machines, this.log, (job) => this.telling?.blamed(job));
+    this.failures = new FailureTracker(jobs, this.fleet.machines, this.log, (job) =>
+      this.telling?.blamed(job),
+    );
     this.progress = new Progress(
       world,
       this.fleet,
       this.table,
       this.records,
       this.estimates,
-      this.blame,
+      this.failures,
       this.log,
       {
         stopped: () => this.stopped,
-        stir: () => this.stir(),
+        requestPlan: () => this.requestPlan(),
         lostOwnership: () => this.lostOwnership(),
         left: (job, h) => this.telling?.left(job, h),
         running: (h) => this.telling?.running(h),
@@ -140,7 +142,7 @@
           this.telling?.over(job);
           this.demand.forget(job.spec.id);
           this.waiting.over(job.spec.id, status, job);
-          this.stir();
+          this.requestPlan();
         },
       },
     );
@@ -158,7 +160,7 @@
       free: (m) => this.starts.freeOn(m, new Map()),
       moving: (id) => this.supply.moving.has(id),
       give: (id, to) => this.give(id, to, true),
-      stir: () => this.stir(),
+      requestPlan: () => this.requestPlan(),
     });
     this.supply = new Supply(world, index, term, this.fleet, this.log, {
       stopped: () => this.stopped,
@@ -168,9 +170,9 @@
       uniqueName: (kind) => this.table.uniqueName(kind),
       needOf: (jobClass) => this.table.needs.get(jobClass) ?? null,
       sawNothing: () => this.table.needs.size === 0,
-      stir: () => this.stir(),
+      requestPlan: () => this.requestPlan(),
     });
-    this.outlook = new Outlook(world, this.fleet, this.estimates, {
+    this.planInput = new PlanInput(world, this.fleet, this.estimates, {
       useOf: (h) => this.table.useOf(h),
       withheld: (id) => this.supply.moving.has(id) || this.preemption.promised.has(id),
       rentals: () => this.supply.rentals,
@@ -188,7 +190,7 @@
       this.table,
       this.fleet,
       this.estimates,
-      this.outlook,
+      this.planInput,
       this.waiting,
       this.supply,
       this.starts,
@@ -208,7 +210,7 @@
         ready: () => this.ready,
         entitled: () => this.entitled,
         lostOwnership: () => this.lostOwnership(),
-        stir: () => this.stir(),
+        requestPlan: () => this.requestPlan(),
       },
     );
     this.draining = new Draining(this.fleet, jobs, this.estimates, TICK_MS);
@@ -299,11 +301,11 @@
   }
 
   /** Plans again soon; many changes at once make one plan. */
-  stir(): void {
-    if (this.stirred || this.stopped) return;
-    this.stirred = true;
+  requestPlan(): void {
+    if (this.planRequested || this.stopped) return;
+    this.planRequested = true;
     this.world.clock.after(Math.max(STIR_MS, this.planNotBefore - this.world.clock.now()), () => {
-      this.stirred = false;
+      this.planRequested = false;
       this.guarded(() => this.replan(this.world.clock.now()));
     });
   }
@@ -365,7 +367,7 @@
     });
     const m = this.fleet.machines.get(id)!;
     if (this.loaded) void this.fleet.contact(m, null);
-    this.stir();
+    this.requestPlan();
   }
 
   private lostOwnership(): Error {
@@ -458,7 +460,7 @@
       this.preemption.keepPromises(now);
       this.supply.returnIdle(now);
       this.tell(now);
-      this.stir();
+      this.requestPlan();
     });
   }
 
@@ -473,7 +475,7 @@
   private tell(now: number): void {
     if (now - this.toldAt < TELL_MS) return;
     this.toldAt = now;
-    this.blame.sweep();
+    this.failures.sweep();
     const teams: Record<string, { jobs: number; placed: number; open: number }> = {};
     for (const job of this.table.jobs.values()) {
       teams[job.spec.team] ??= { jobs: 0, placed: 0, open: 0 };
@@ -522,9 +524,9 @@
   // --- renting and returning
 
   /** Promises a machine whose tasks end soon to a shard where urgent work waits longer. False when there is none. */
-  cede(to: number, need: Need, zone: string): boolean {
+  reserveMachine(to: number, need: Need, zone: string): boolean {
     const now = this.world.clock.now();
-    return this.preemption.cede(to, need, zone, (h) => this.estimates.heldEnd(h, now));
+    return this.preemption.reserveMachine(to, need, zone, (h) => this.estimates.heldEnd(h, now));
   }
 
   gossip(node: string): Gossip {
@@ -532,8 +534,8 @@
   }
 
   /** Clears a machine for another shard's more urgent work. False when that is not to be. */
-  vacate(id: string, to: number, priority: number): boolean {
-    return this.preemption.vacate(id, to, priority);
+  clearMachine(id: string, to: number, priority: number): boolean {
+    return this.preemption.clearMachine(id, to, priority);
   }
 
   /** The cloud's list has been read. */
--- a/src/shard/unseen.ts
+++ b/src/shard/unseen.ts
@@ -6,7 +6,7 @@
 import type { Fleet } from '../workers/fleet.js';
 import type { World } from '../world/world.js';
 
-/** Machines that are there answer the greeting of a new owner within this. */
+/** Machines that are there answer the first question of a new owner within this. */
 const GREET_MS = 2500;
 /** Told to operators once so many of the machines that were taken over have answered. */
 const REACHED_SHARE = 0.9;
--- a/src/shards/cloudwatch.ts
+++ b/src/shards/cloudwatch.ts
@@ -25,7 +25,7 @@
     for (;;) {
       try {
         this.world.catalog.set(await this.world.cloud.types());
-        for (const s of this.own.shards.values()) s.stir();
+        for (const s of this.own.shards.values()) s.requestPlan();
         void this.storeTypes();
         await pause(this.world.clock, TYPES_MS);
       } catch (error) {
--- a/src/shards/leader.ts
+++ b/src/shards/leader.ts
@@ -1,16 +1,16 @@
 import { mostMachines } from '../config/settings.js';
 import { valueBytes } from '../jobs/records.js';
-import { KEYS, type MachineRecord, readParting } from '../keys/keys.js';
+import { KEYS, type MachineRecord, readTeamAssignment } from '../keys/keys.js';
 import { StateFailure } from '../state/store.js';
 import type { Gossip, Need } from '../supply/gossip.js';
-import { chooseCeding, chooseClearing, matchSpares, shardFor } from '../supply/moves.js';
+import { chooseClearing, chooseReservation, matchSpares, shardFor } from '../supply/moves.js';
 import type { ListedMachine } from '../wire/cloud.js';
 import { readReport, WORKER_PATHS } from '../wire/workers.js';
 import type { World } from '../world/world.js';
 import type { Mirror } from './mirror.js';
 
 /** What a machine that nobody has been given says of itself. */
-export interface Stray {
+export interface UnassignedMachine {
   id: string;
   addr: string;
   type: string;
@@ -21,7 +21,7 @@
 
 /** A machine that nobody has: whether it has reported, and whether it has shown that it is there. */
 interface Unassigned {
-  stray: Stray;
+  machine: UnassignedMachine;
   since: number;
   reported: boolean;
   there?: boolean;
@@ -34,9 +34,9 @@
   /** The owner of a shard gives an empty machine to another. */
   giveAway(shard: number, machine: string, to: number): Promise<boolean>;
   /** The owner of a shard clears a machine for another's more urgent work. */
-  vacate(shard: number, machine: string, to: number, priority: number): Promise<boolean>;
+  clearMachine(shard: number, machine: string, to: number, priority: number): Promise<boolean>;
   /** The owner of a shard promises a machine whose tasks end soon. */
-  cede(shard: number, to: number, need: Need, zone: string): Promise<boolean>;
+  reserveMachine(shard: number, to: number, need: Need, zone: string): Promise<boolean>;
   /** Whether every node understands what the first version did not. */
   allRead(): boolean;
 }
@@ -48,11 +48,11 @@
 const DEALT_TOGETHER = 24;
 const DEALT_LEAST = 12;
 const CLEAR_PAUSE_MS = 700;
-const CEDE_PAUSE_MS = 300;
-const CEDE_AIM_S = 120;
-const CEDE_AIM_SHARE = 1;
+const RESERVE_PAUSE_MS = 300;
+const RESERVE_AIM_S = 120;
+const RESERVE_AIM_SHARE = 1;
 /** A machine just rented may report before its owner has recorded it; one still booting is its renter's to record. */
-const STRAY_GRACE_MS = 400;
+const REPORTED_GRACE_MS = 400;
 const BOOTING_GRACE_MS = 8000;
 /** Machines that the cloud does not list are asked whether they are there: so many at once, no longer than this each. */
 const ASKED_AT_ONCE = 16;
@@ -64,7 +64,7 @@
  */
 export class Leader {
   private readonly gossip = new Map<number, { at: number; told: Gossip }>();
-  private readonly strays = new Map<string, Unassigned>();
+  private readonly unassigned = new Map<string, Unassigned>();
   private asking = 0;
   private readonly given = new Map<string, number>();
   private stopped = false;
@@ -93,14 +93,14 @@
   }
 
   /** A machine that no record names has reported. */
-  seen(stray: Stray): void {
+  seen(machine: UnassignedMachine): void {
     // A copy of its report that comes late: a name that was given back is never used again.
-    if (this.world.goneMachines.has(stray.id)) return;
-    const known = this.strays.get(stray.id);
+    if (this.world.goneMachines.has(machine.id)) return;
+    const known = this.unassigned.get(machine.id);
     if (known) {
       if (!known.reported) known.since = this.world.clock.now();
       known.reported = true;
-    } else this.strays.set(stray.id, { stray, since: this.world.clock.now(), reported: true });
+    } else this.unassigned.set(machine.id, { machine, since: this.world.clock.now(), reported: true });
   }
 
   listed(machines: ListedMachine[]): void {
@@ -110,17 +110,17 @@
     for (const m of machines) {
       // The list is late: it still shows machines that have just been given back.
       if ((this.world.goneMachines.get(m.id) ?? Number.NEGATIVE_INFINITY) > buried) continue;
-      if (m.state === 'failed' || this.mirror.entries.has(KEYS.machine(m.id)) || this.strays.has(m.id))
+      if (m.state === 'failed' || this.mirror.entries.has(KEYS.machine(m.id)) || this.unassigned.has(m.id))
         continue;
-      this.strays.set(m.id, { stray: { ...m }, since: now, reported: m.state === 'running' });
+      this.unassigned.set(m.id, { machine: { ...m }, since: now, reported: m.state === 'running' });
     }
-    for (const [id, s] of this.strays) if (!s.reported && !names.has(id)) this.strays.delete(id);
+    for (const [id, s] of this.unassigned) if (!s.reported && !names.has(id)) this.unassigned.delete(id);
   }
 
   private loop(): void {
     if (this.stopped) return;
     if (this.hooks.valid() && this.mirror.ready) {
-      void this.partTeams();
+      void this.assignTeams();
       void this.deal();
       this.move();
     }
@@ -133,16 +133,16 @@
 
   // --- teams
 
-  private parting = false;
+  private assigning = false;
 
   /** Teams stay in the shard that they were given; new ones go where the guarantees weigh least. */
-  private async partTeams(): Promise<void> {
-    const known = readParting(this.mirror.entries) ?? {};
+  private async assignTeams(): Promise<void> {
+    const known = readTeamAssignment(this.mirror.entries) ?? {};
     const fresh = this.world.settings.teams.filter((t) => known[t.name] === undefined);
-    if ((this.mirror.entries.has(KEYS.teams) && fresh.length === 0) || this.parting) return;
-    this.parting = true;
+    if ((this.mirror.entries.has(KEYS.teams) && fresh.length === 0) || this.assigning) return;
+    this.assigning = true;
     try {
-      const records = this.partingRecords(partTeams(this.world.settings.teams, known, this.shards));
+      const records = this.assignmentRecords(assignTeams(this.world.settings.teams, known, this.shards));
       for (const [key, value] of records) {
         const version = this.mirror.entries.get(key)?.version ?? 0;
         const result = await this.world.store.txn(
@@ -156,14 +156,14 @@
         this.mirror.apply({ key, value, version: result.revision });
       }
     } catch (error) {
-      this.world.log.info({ error: String(error) }, 'parting teams failed');
+      this.world.log.info({ error: String(error) }, 'assigning teams failed');
     } finally {
-      this.parting = false;
+      this.assigning = false;
     }
   }
 
-  /** The parting in as many records as the state service's limit asks for, the first last: it tells that all are there. */
-  private partingRecords(parted: Record<string, number>): [string, Record<string, number>][] {
+  /** The assignment in as many records as the state service's limit asks for, the first last: it tells that all are there. */
+  private assignmentRecords(parted: Record<string, number>): [string, Record<string, number>][] {
     const most = valueBytes(this.world.settings.stateLimits.valueKb);
     if (!this.hooks.allRead()) return [[KEYS.teams, parted]];
     const records: Record<string, number>[] = [{}];
@@ -187,11 +187,11 @@
   private async deal(): Promise<void> {
     if (this.dealing) return;
     const now = this.world.clock.now();
-    const due: Stray[] = [];
-    for (const [id, s] of this.strays) {
-      if (this.mirror.entries.has(KEYS.machine(id))) this.strays.delete(id);
-      else if (now - s.since >= (s.reported ? STRAY_GRACE_MS : BOOTING_GRACE_MS)) {
-        if (this.isThere(id, s)) due.push(s.stray);
+    const due: UnassignedMachine[] = [];
+    for (const [id, s] of this.unassigned) {
+      if (this.mirror.entries.has(KEYS.machine(id))) this.unassigned.delete(id);
+      else if (now - s.since >= (s.reported ? REPORTED_GRACE_MS : BOOTING_GRACE_MS)) {
+        if (this.isThere(id, s)) due.push(s.machine);
       }
     }
     if (due.length === 0 || !this.mirror.entries.has(KEYS.teams)) return;
@@ -215,7 +215,7 @@
         for (const [id, value] of records) {
           // One that failed has a record that this copy does not show yet.
           if (result.ok) this.mirror.apply({ key: KEYS.machine(id), value, version: result.revision });
-          if (result.ok || result.failed.includes(KEYS.machine(id))) this.strays.delete(id);
+          if (result.ok || result.failed.includes(KEYS.machine(id))) this.unassigned.delete(id);
         }
       }
     } catch (error) {
@@ -236,14 +236,14 @@
     s.asking = true;
     this.asking++;
     void this.world.http
-      .request(s.stray.addr, 'GET', WORKER_PATHS.show, null, ASK_MS)
+      .request(s.machine.addr, 'GET', WORKER_PATHS.show, null, ASK_MS)
       .then((shown) => {
         s.there = readReport(shown.body)?.machine === id;
         // Its address is another's by now.
-        if (!s.there) this.strays.delete(id);
+        if (!s.there) this.unassigned.delete(id);
       })
       // It is asked again when it reports again.
-      .catch(() => this.strays.delete(id))
+      .catch(() => this.unassigned.delete(id))
       .finally(() => {
         s.asking = false;
         this.asking--;
@@ -251,7 +251,7 @@
     return false;
   }
 
-  private recordFor(s: Stray, counts: Map<string, number[]>): MachineRecord {
+  private recordFor(s: UnassignedMachine, counts: Map<string, number[]>): MachineRecord {
     const shard = this.poorest(s, counts);
     return {
       shard,
@@ -288,7 +288,7 @@
 
   /** A shard gets no more machines than its owner has connections for, or its part of them when there are too many. */
   private mostOf(counts: readonly number[]): number {
-    const all = counts.reduce((sum, n) => sum + n, this.strays.size);
+    const all = counts.reduce((sum, n) => sum + n, this.unassigned.size);
     return Math.max(
       mostMachines(this.world.settings.limits.maxSockets),
       Math.ceil((all * 1.1) / this.shards),
@@ -307,7 +307,7 @@
   }
 
   /** The shard that a machine goes to; it counts as given there. */
-  private poorest(s: Stray, counts: Map<string, number[]>): number {
+  private poorest(s: UnassignedMachine, counts: Map<string, number[]>): number {
     const weights = this.weights();
     const shards = weights.map((weight, i) => ({
       weight,
@@ -315,16 +315,16 @@
       haveInZone: counts.get(`${s.type} ${s.zone}`)?.[i] ?? 0,
       near: this.zoneOf(i) === s.zone,
     }));
-    let unassigned = 0;
-    for (const other of this.strays.values()) if (other.stray.type === s.type) unassigned++;
-    const best = shardFor(shards, unassigned);
+    let others = 0;
+    for (const other of this.unassigned.values()) if (other.machine.type === s.type) others++;
+    const best = shardFor(shards, others);
     this.count(counts, best, s.type, s.zone);
     return best;
   }
 
   private weights(): number[] {
     const weights = new Array<number>(this.shards).fill(0.01);
-    const parted = readParting(this.mirror.entries) ?? {};
+    const parted = readTeamAssignment(this.mirror.entries) ?? {};
     for (const t of this.world.settings.teams) {
       const shard = parted[t.name];
       if (shard !== undefined && weights[shard] !== undefined) weights[shard]! += t.cpus + 10 * t.gpus + 1;
@@ -347,33 +347,36 @@
       this.given.set(m.machine, now);
       void this.hooks.giveAway(m.from, m.machine, m.to).catch(() => undefined);
     }
-    const ceding = now - this.cededAt < CEDE_PAUSE_MS ? null : chooseCeding(fresh, this.cedeMostS());
-    if (ceding && counts[ceding.to]! < most) {
-      this.cededAt = now;
-      void this.hooks.cede(ceding.from, ceding.to, ceding.need, ceding.zone).catch(() => undefined);
+    const reservation =
+      now - this.reservedAt < RESERVE_PAUSE_MS ? null : chooseReservation(fresh, this.reserveMostS());
+    if (reservation && counts[reservation.to]! < most) {
+      this.reservedAt = now;
+      void this.hooks
+        .reserveMachine(reservation.from, reservation.to, reservation.need, reservation.zone)
+        .catch(() => undefined);
     }
     if (now - this.clearedAt < CLEAR_PAUSE_MS) return;
     const clear = chooseClearing(fresh, sizeOf);
     if (!clear || this.given.has(clear.machine)) return;
     this.clearedAt = now;
     this.given.set(clear.machine, now);
-    void this.hooks.vacate(clear.from, clear.machine, clear.to, clear.priority).catch(() => undefined);
+    void this.hooks.clearMachine(clear.from, clear.machine, clear.to, clear.priority).catch(() => undefined);
   }
 
-  /** A shard cedes machines as long as its own urgent work still meets the hastiest aim for a start. */
-  private cedeMostS(): number {
-    let hastiest = CEDE_AIM_S;
+  /** A shard reserves machines as long as its own urgent work still meets the hastiest aim for a start. */
+  private reserveMostS(): number {
+    let hastiest = RESERVE_AIM_S;
     for (const o of this.world.settings.objectives)
       if (o.kind === 'wait' && o.withinS !== null) hastiest = Math.min(hastiest, o.withinS);
-    return hastiest * CEDE_AIM_SHARE;
+    return hastiest * RESERVE_AIM_SHARE;
   }
 
   private clearedAt = Number.NEGATIVE_INFINITY;
-  private cededAt = Number.NEGATIVE_INFINITY;
+  private reservedAt = Number.NEGATIVE_INFINITY;
 }
 
 /** Spreads teams over the shards by their guarantees, the largest first. */
-export function partTeams(
+export function assignTeams(
   teams: readonly { name: string; cpus: number; gpus: number }[],
   known: Record<string, number>,
   shards: number,
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -12,6 +12,8 @@
 const RENEW_WAIT_SHARE = 3 / 16;
 const RETRY_MS = 400;
 const MARGIN_MS = 150;
+/** A node whose renewals have not been answered for so long passes no changes on. */
+const UNSERVED_MS = 1000;
 
 /**
  * This node's lease in the state service and what hangs on it: its presence, the shards it owns and, for one node,
@@ -57,6 +59,7 @@
       regionOf,
       requestsPerSecond,
       present: () => this.feeding(),
+      served: () => this.failingMs < UNSERVED_MS,
     });
     this.mirror = new Mirror(clock, this.feed, KEYS.cluster, log, onChange);
   }
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -1,4 +1,4 @@
-// In this room: who owns what: members, claims, leader, routing, letters.
+// This package: who owns what: members, claims, leader, routing, stored requests.
 import { nodeLease } from '../config/bounds.js';
 import { regionOfNode } from '../config/settings.js';
 import { FEED_OPS } from '../feed/messages.js';
@@ -8,20 +8,22 @@
 import type { Mesh } from '../peer/mesh.js';
 import { type StatusAnswer, type SubmitAnswer, Unavailable } from '../shard/answers.js';
 import { readClaims } from '../shard/waiting.js';
+import { STANDBY_OPS } from '../standby/messages.js';
 import { readGossip, readNeed } from '../supply/gossip.js';
 import type { Entry } from '../wire/state.js';
 import type { JobSpec, ListedJob } from '../wire/users.js';
 import type { Report } from '../wire/workers.js';
 import type { World } from '../world/world.js';
 import { CloudWatch } from './cloudwatch.js';
-import type { Stray } from './leader.js';
-import { Mailbox } from './mailbox.js';
+import type { UnassignedMachine } from './leader.js';
 import { Members } from './members.js';
-import { MAILED, Owners } from './owners.js';
+import { PEER_OPS } from './operations.js';
+import { Owners, STORED_OPS } from './owners.js';
 import { Ownership } from './ownership.js';
 import { RATES_OP, Rates } from './rates.js';
 import { Routing } from './routing.js';
 import type { Standbys } from './standbys.js';
+import { StoredRequests } from './storedrequests.js';
 
 export type ReportAnswer =
   | { kind: 'orders'; body: object }
@@ -31,7 +33,13 @@
 
 const GOSSIP_MS = 500;
 /** Questions to the owner of a shard, which go on to the next one while the shard changes hands. */
-const FOR_OWNERS = new Set(['submit', 'submitAfter', 'status', 'cancel', 'list']);
+const FOR_OWNERS = new Set<string>([
+  PEER_OPS.submit,
+  PEER_OPS.submitAfter,
+  PEER_OPS.status,
+  PEER_OPS.cancel,
+  PEER_OPS.list,
+]);
 const SWITCH_MS = 1500;
 const GONE_KEPT = 2000;
 
@@ -41,7 +49,7 @@
   private readonly own: Ownership;
   private readonly owners: Owners;
   private readonly routing: Routing;
-  private readonly mailbox: Mailbox;
+  private readonly storedRequests: StoredRequests;
   private readonly cloud: CloudWatch;
   private readonly rates: Rates;
   /** What optional parts of a node answer to the same parts of others. */
@@ -70,12 +78,12 @@
       s.stateLimits.rps,
     );
     const shards = () => this.own.shards;
-    this.mailbox = new Mailbox(world, this.members.mirror, (shard, op, args) => {
+    this.storedRequests = new StoredRequests(world, this.members.mirror, (shard, op, args) => {
       const here = this.own.shards.get(shard);
-      return here?.ready && MAILED.has(op) ? this.serve(op, { ...args, shard }) : null;
+      return here?.ready && STORED_OPS.has(op) ? this.serve(op, { ...args, shard }) : null;
     });
     const nodes = [s.node, ...s.peers.map((p) => p.node)];
-    this.owners = new Owners(world, this.members, this.mailbox, shards, nodes, {
+    this.owners = new Owners(world, this.members, this.storedRequests, shards, nodes, {
       locate: (id) => this.routing.locate(id),
       soon: (shard) => this.own.soon(shard),
     });
@@ -83,12 +91,12 @@
     this.own = new Ownership(world, this.members, this.owners.others, {
       valid: () => this.members.valid,
       giveAway: (shard, machine, to) => this.owners.giveAway(shard, machine, to),
-      vacate: (shard, machine, to, priority) => this.owners.vacate(shard, machine, to, priority),
-      cede: (shard, to, need, zone) => this.owners.cede(shard, to, need, zone),
+      clearMachine: (shard, machine, to, priority) => this.owners.clearMachine(shard, machine, to, priority),
+      reserveMachine: (shard, to, need, zone) => this.owners.reserveMachine(shard, to, need, zone),
       allRead: () => this.owners.allRead,
       tellOwns: (shard, term) => {
         for (const peer of s.peers)
-          this.mesh?.tell(peer.node, 'owns', { shard, term, holder: this.members.holder });
+          this.mesh?.tell(peer.node, PEER_OPS.owns, { shard, term, holder: this.members.holder });
       },
     });
     this.cloud = new CloudWatch(world, this.members.mirror, this.own);
@@ -100,7 +108,7 @@
     this.owners.mesh = mesh;
     if (this.standbys) this.own.standbys = this.makeStandbys(this.standbys, mesh);
     this.cloud.start();
-    void this.mailbox.sweep();
+    void this.storedRequests.sweep();
     this.gossipLoop();
     this.members.feed.start(mesh);
     this.rates.start(mesh);
@@ -123,7 +131,7 @@
       aside: () => this.own.reach.aside || this.leaving,
       taken: (shard, term, from) => this.own.take(shard, term, from),
       lost: (shard, term) => this.own.superseded(shard, term + 1),
-      stir: (shard) => this.own.shards.get(shard)?.stir(),
+      requestPlan: (shard) => this.own.shards.get(shard)?.requestPlan(),
     });
   }
 
@@ -132,7 +140,7 @@
   }
 
   private changed(key: string, entry: Entry | null): void {
-    if (entry && key.startsWith(KEYS.mail)) this.mailbox.changed(key, entry);
+    if (entry && key.startsWith(KEYS.requests)) this.storedRequests.changed(key, entry);
     if (key.startsWith(KEYS.owners)) this.members.ownerChanged(Number(key.slice(KEYS.owners.length)));
     if (key.startsWith(KEYS.machines)) {
       const id = key.slice(KEYS.machines.length);
@@ -156,7 +164,7 @@
       if (!s.ready) continue;
       const told = s.gossip(this.world.settings.node);
       if (this.own.leader) this.own.leader.hear(told);
-      else if (leader) this.mesh?.tell(leader, 'gossip', told);
+      else if (leader) this.mesh?.tell(leader, PEER_OPS.gossip, told);
     }
     this.world.clock.after(GOSSIP_MS, () => this.gossipLoop());
   }
@@ -177,59 +185,59 @@
         return this.members.feed.serve(op, args);
       case RATES_OP:
         return this.rates.hear(from, args);
-      case 'stand':
+      case STANDBY_OPS.stand:
         return this.own.standbys?.follower.hear(args, from) ?? null;
-      case 'assume':
+      case STANDBY_OPS.assume:
         return this.own.assume(a);
-      case 'gossip': {
+      case PEER_OPS.gossip: {
         const told = readGossip(args);
         if (told) this.own.leader?.hear(told);
         return null;
       }
-      case 'stray':
-        this.own.leader?.seen(a as unknown as Stray);
+      case PEER_OPS.unassigned:
+        this.own.leader?.seen(a as unknown as UnassignedMachine);
         return null;
-      case 'owns': {
+      case PEER_OPS.owns: {
         const holder = readHolder(a.holder);
         if (!holder || !Number.isInteger(a.shard) || !Number.isInteger(a.term)) return null;
         this.members.hearOwner(Number(a.shard), holder, Number(a.term));
         this.own.superseded(Number(a.shard), Number(a.term));
         return null;
       }
-      case 'sent':
+      case PEER_OPS.redirected:
         this.own.reach.sentHere(String(a.machine), from);
-        for (const s of this.own.shards.values()) s.fleet.strayed(String(a.machine));
+        for (const s of this.own.shards.values()) s.fleet.reportedElsewhere(String(a.machine));
         return null;
-      case 'give': {
+      case PEER_OPS.give: {
         const shard = this.own.shards.get(Number(a.shard));
         return shard ? shard.give(String(a.machine), Number(a.to)) : false;
       }
-      case 'vacate': {
+      case PEER_OPS.clearMachine: {
         const shard = this.own.shards.get(Number(a.shard));
-        return shard ? shard.vacate(String(a.machine), Number(a.to), Number(a.priority)) : false;
+        return shard ? shard.clearMachine(String(a.machine), Number(a.to), Number(a.priority)) : false;
       }
-      case 'cede': {
+      case PEER_OPS.reserveMachine: {
         const shard = this.own.shards.get(Number(a.shard));
         const need = readNeed(a.need);
-        return shard && need ? shard.cede(Number(a.to), need, String(a.zone)) : false;
+        return shard && need ? shard.reserveMachine(Number(a.to), need, String(a.zone)) : false;
       }
-      case 'needed':
+      case PEER_OPS.needed:
         return this.owners.local(a.shard).neededBy(Number(a.from), readClaims(a.claims));
-      case 'over':
+      case PEER_OPS.over:
         if (a.status === 'done' || a.status === 'cancelled')
           this.own.shards.get(Number(a.shard))?.overElsewhere(String(a.id), a.status);
         return null;
-      case 'submitAfter':
-      case 'submit': {
+      case PEER_OPS.submitAfter:
+      case PEER_OPS.submit: {
         const spec = readSpec(a.spec);
         if (!spec) throw new Error('bad job');
         return this.owners.local(a.shard).submit(spec);
       }
-      case 'status':
+      case PEER_OPS.status:
         return this.owners.local(a.shard).status(String(a.id));
-      case 'cancel':
+      case PEER_OPS.cancel:
         return this.owners.local(a.shard).cancel(String(a.id));
-      case 'list':
+      case PEER_OPS.list:
         return this.owners.local(a.shard).list(String(a.under), String(a.after), Number(a.most));
       default: {
         const extension = this.extensions.get(op);
@@ -296,7 +304,7 @@
     const entry = this.members.mirror.entries.get(KEYS.machine(r.machine));
     const record = entry && readMachineRecord(entry.value);
     if (!record) {
-      this.stray(r);
+      this.tellUnassigned(r);
       return { kind: 'busy', known: false };
     }
     const owner = this.members.owner(record.shard);
@@ -308,14 +316,21 @@
       !(this.members.valid || this.members.heard(record.shard))
     )
       return { kind: 'busy', known: true };
-    this.mesh?.tell(owner.node, 'sent', { machine: r.machine });
+    this.mesh?.tell(owner.node, PEER_OPS.redirected, { machine: r.machine });
     return { kind: 'redirect', node: owner.node };
   }
 
-  private stray(r: Report): void {
-    const stray: Stray = { id: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot, ageS: 0 };
+  private tellUnassigned(r: Report): void {
+    const machine: UnassignedMachine = {
+      id: r.machine,
+      addr: r.addr,
+      type: r.type,
+      zone: r.zone,
+      spot: r.spot,
+      ageS: 0,
+    };
     const leader = this.members.leader();
-    if (this.own.leader) this.own.leader.seen(stray);
-    else if (leader) this.mesh?.tell(leader, 'stray', stray);
+    if (this.own.leader) this.own.leader.seen(machine);
+    else if (leader) this.mesh?.tell(leader, PEER_OPS.unassigned, machine);
   }
 }
--- a/src/shards/owners.ts
+++ b/src/shards/owners.ts
@@ -7,8 +7,9 @@
 import { type Claim, readStandings, type Standing } from '../shard/waiting.js';
 import type { Need } from '../supply/gossip.js';
 import type { World } from '../world/world.js';
-import type { Mailbox } from './mailbox.js';
 import type { Members } from './members.js';
+import { PEER_OPS } from './operations.js';
+import type { StoredRequests } from './storedrequests.js';
 
 const ASK_MS = 3500;
 /**
@@ -17,10 +18,10 @@
  */
 const ASK_FIRST_MS = 1800;
 const ASK_STATUS_MS = 900;
-/** An owner that has answered neither directly nor by letter is not written to for this long: users are told at once. */
-const NO_LETTERS_MS = 2500;
-const MAIL_MS = 1000;
-export const MAILED = new Set(['submit', 'submitAfter', 'cancel']);
+/** An owner that has answered neither directly nor by a stored request is not written to for this long: users are told at once. */
+const NO_STORED_MS = 2500;
+const STORED_MS = 1000;
+export const STORED_OPS = new Set<string>([PEER_OPS.submit, PEER_OPS.submitAfter, PEER_OPS.cancel]);
 /** Owners ask each other often what has become of jobs, and the state service when there is no answer. */
 const ASK_NEEDED_MS = 2000;
 
@@ -30,15 +31,15 @@
   soon(shard: number): Promise<void>;
 }
 
-/** The way to a shard's owner, wherever it is: here, directly, or by letter. */
+/** The way to a shard's owner, wherever it is: here, directly, or by a stored request. */
 export class Owners {
   mesh: Mesh | null = null;
-  private readonly noLettersUntil = new Map<string, number>();
+  private readonly noStoredUntil = new Map<string, number>();
 
   constructor(
     private readonly world: World,
     private readonly members: Members,
-    private readonly mailbox: Mailbox,
+    private readonly storedRequests: StoredRequests,
     /** The shards of this node. */
     private readonly shards: () => ReadonlyMap<number, Shard>,
     private readonly nodes: readonly string[],
@@ -50,23 +51,28 @@
     if (local) return local.give(machine, to);
     const owner = this.members.owner(shard);
     if (!owner) return false;
-    return (await this.mesh?.ask(owner.node, 'give', { shard, machine, to }, ASK_MS)) === true;
+    return (await this.mesh?.ask(owner.node, PEER_OPS.give, { shard, machine, to }, ASK_MS)) === true;
   }
 
-  async vacate(shard: number, machine: string, to: number, priority: number): Promise<boolean> {
+  async clearMachine(shard: number, machine: string, to: number, priority: number): Promise<boolean> {
     const local = this.shards().get(shard);
-    if (local) return local.vacate(machine, to, priority);
+    if (local) return local.clearMachine(machine, to, priority);
     const owner = this.members.owner(shard);
     if (!owner) return false;
-    return (await this.mesh?.ask(owner.node, 'vacate', { shard, machine, to, priority }, ASK_MS)) === true;
+    return (
+      (await this.mesh?.ask(owner.node, PEER_OPS.clearMachine, { shard, machine, to, priority }, ASK_MS)) ===
+      true
+    );
   }
 
-  async cede(shard: number, to: number, need: Need, zone: string): Promise<boolean> {
+  async reserveMachine(shard: number, to: number, need: Need, zone: string): Promise<boolean> {
     const local = this.shards().get(shard);
-    if (local) return local.cede(to, need, zone);
+    if (local) return local.reserveMachine(to, need, zone);
     const owner = this.members.owner(shard);
     if (!owner) return false;
-    return (await this.mesh?.ask(owner.node, 'cede', { shard, to, need, zone }, ASK_MS)) === true;
+    return (
+      (await this.mesh?.ask(owner.node, PEER_OPS.reserveMachine, { shard, to, need, zone }, ASK_MS)) === true
+    );
   }
 
   local(shard: unknown): Shard {
@@ -81,7 +87,7 @@
     op: string,
     args: object,
     here: (s: Shard) => Promise<T>,
-    mayMail = true,
+    mayStore = true,
   ): Promise<T> {
     if (this.shards().get(shard)?.ready === false) await this.hooks.soon(shard);
     const local = this.shards().get(shard);
@@ -89,8 +95,8 @@
     const owner = this.members.owner(shard);
     if (!owner || owner.node === this.world.settings.node || !this.mesh)
       throw new OwnerAway('no owner at present');
-    const mailed = MAILED.has(op);
-    const ms = mailed ? ASK_FIRST_MS : op === 'status' ? ASK_STATUS_MS : ASK_MS;
+    const stored = STORED_OPS.has(op);
+    const ms = stored ? ASK_FIRST_MS : op === PEER_OPS.status ? ASK_STATUS_MS : ASK_MS;
     try {
       return (await this.mesh.ask(owner.node, op, { shard, ...args }, ms)) as T;
     } catch (error) {
@@ -98,19 +104,19 @@
       const message = error instanceof Error ? error.message : 'owner does not answer';
       if (error instanceof Answered)
         throw message === NOT_READY ? new OwnerAway(message) : new Unavailable(message);
-      if (mailed && mayMail) return await this.askByMail<T>(shard, owner.run, op, args);
+      if (stored && mayStore) return await this.askByStore<T>(shard, owner.run, op, args);
       throw new OwnerAway(message);
     }
   }
 
-  async askByMail<T>(shard: number, run: string, op: string, args: object): Promise<T> {
+  async askByStore<T>(shard: number, run: string, op: string, args: object): Promise<T> {
     const now = this.world.clock.now();
-    if (now < (this.noLettersUntil.get(run) ?? 0)) throw new Unavailable('owner does not answer');
+    if (now < (this.noStoredUntil.get(run) ?? 0)) throw new Unavailable('owner does not answer');
     try {
-      return (await this.mailbox.ask(shard, op, { ...args }, MAIL_MS)) as T;
+      return (await this.storedRequests.ask(shard, op, { ...args }, STORED_MS)) as T;
     } catch (error) {
-      if (this.noLettersUntil.size > this.nodes.length * 4) this.noLettersUntil.clear();
-      this.noLettersUntil.set(run, this.world.clock.now() + NO_LETTERS_MS);
+      if (this.noStoredUntil.size > this.nodes.length * 4) this.noStoredUntil.clear();
+      this.noStoredUntil.set(run, this.world.clock.now() + NO_STORED_MS);
       throw new Unavailable(error instanceof Error ? error.message : 'owner does not answer');
     }
   }
@@ -135,13 +141,15 @@
       if (local) return local.neededBy(from, claims);
       const owner = this.members.owner(shard);
       if (!owner || !this.mesh) throw new Unavailable('no owner at present');
-      return readStandings(await this.mesh.ask(owner.node, 'needed', { shard, from, claims }, ASK_NEEDED_MS));
+      return readStandings(
+        await this.mesh.ask(owner.node, PEER_OPS.needed, { shard, from, claims }, ASK_NEEDED_MS),
+      );
     },
     tellOver: (shard: number, id: string, status: 'done' | 'cancelled') => {
       const local = this.shards().get(shard);
       const owner = this.members.owner(shard);
       if (local) local.overElsewhere(id, status);
-      else if (owner) this.mesh?.tell(owner.node, 'over', { shard, id, status });
+      else if (owner) this.mesh?.tell(owner.node, PEER_OPS.over, { shard, id, status });
     },
   };
 }
--- a/src/shards/routing.ts
+++ b/src/shards/routing.ts
@@ -1,7 +1,7 @@
 import { isGuest, type JobEntry } from '../jobs/job.js';
 import { findJob } from '../jobs/records.js';
 import { standing, waits } from '../jobs/standing.js';
-import { readParting } from '../keys/keys.js';
+import { readTeamAssignment } from '../keys/keys.js';
 import { OwnerAway, type StatusAnswer, type SubmitAnswer, Unavailable } from '../shard/answers.js';
 import type { Shard } from '../shard/shard.js';
 import { StateFailure } from '../state/store.js';
@@ -9,6 +9,7 @@
 import type { World } from '../world/world.js';
 import { Deputy } from './deputy.js';
 import type { Members } from './members.js';
+import { PEER_OPS } from './operations.js';
 import type { Owners } from './owners.js';
 
 const ROUTES_KEPT = 20_000;
@@ -38,7 +39,7 @@
   /** Makes a shard's owner read the record of a job that it may not know of. */
   private async confirm(shard: number, id: string): Promise<boolean> {
     try {
-      await this.owners.ask(shard, 'status', { id }, (s) => s.status(id));
+      await this.owners.ask(shard, PEER_OPS.status, { id }, (s) => s.status(id));
       return true;
     } catch (error) {
       if (!(error instanceof Unavailable || error instanceof StateFailure)) throw error;
@@ -54,7 +55,7 @@
   shardOf(spec: JobSpec): number | null {
     const { teams, nodes } = this.world.settings;
     if (teams.length === 0) return hash(spec.id) % nodes;
-    const parted = readParting(this.members.mirror.entries);
+    const parted = readTeamAssignment(this.members.mirror.entries);
     const own = parted?.[spec.team];
     if (!parted || own === undefined) return null;
     const team = teams.find((t) => t.name === spec.team);
@@ -107,7 +108,7 @@
     // One that does not understand what it asks of machines would start it anywhere.
     if (spec.match && !this.owners.allMatch)
       throw new Unavailable('not all controllers serve match expressions');
-    const op = spec.after.length > 0 ? 'submitAfter' : 'submit';
+    const op = spec.after.length > 0 ? PEER_OPS.submitAfter : PEER_OPS.submit;
     let answer: SubmitAnswer;
     try {
       const deputy = this.deputy.mayAccept(spec);
@@ -127,7 +128,7 @@
     return answer;
   }
 
-  /** Accepts a job whose owner is away; an owner that only this node cannot reach hears of it by letter. */
+  /** Accepts a job whose owner is away; an owner that only this node cannot reach hears of it by a stored request. */
   private async acceptFor(shard: number, op: string, spec: JobSpec): Promise<SubmitAnswer> {
     for (const id of spec.after) {
       const entry = await this.locate(id);
@@ -140,7 +141,7 @@
       throw new Unavailable('known, but not how it stands');
     const owner = this.members.owner(shard);
     if (answer.kind === 'accepted' && owner && owner.node !== this.world.settings.node)
-      void this.owners.askByMail(shard, owner.run, op, { spec }).catch(() => undefined);
+      void this.owners.askByStore(shard, owner.run, op, { spec }).catch(() => undefined);
     return answer;
   }
 
@@ -152,7 +153,7 @@
     }
     let answer: StatusAnswer | null;
     try {
-      answer = await this.owners.ask(entry.shard, 'status', { id }, (s) => s.status(id));
+      answer = await this.owners.ask(entry.shard, PEER_OPS.status, { id }, (s) => s.status(id));
     } catch (error) {
       const stored = error instanceof Unavailable ? await this.stored(id) : null;
       if (!stored) throw error;
@@ -180,7 +181,7 @@
     const args = { under, after, most: LISTED };
     const parts = await Promise.all(
       shards.map((shard) =>
-        this.owners.ask<ListedJob[]>(shard, 'list', args, async (s) => s.list(under, after, LISTED)),
+        this.owners.ask<ListedJob[]>(shard, PEER_OPS.list, args, async (s) => s.list(under, after, LISTED)),
       ),
     );
     const jobs = parts.flat().sort((a, b) => (a.id < b.id ? -1 : 1));
@@ -194,7 +195,7 @@
     const entry = await this.locate(id);
     if (!entry) return null;
     if (entry.final) return entry.final;
-    const answer = await this.owners.ask(entry.shard, 'cancel', { id }, (s) => s.cancel(id));
+    const answer = await this.owners.ask(entry.shard, PEER_OPS.cancel, { id }, (s) => s.cancel(id));
     if (answer === null) {
       this.routes.delete(id);
       const again = await this.locate(id);
--- a/src/shards/standbys.ts
+++ b/src/shards/standbys.ts
@@ -25,7 +25,7 @@
   taken(shard: number, term: number, from: Taken): void;
   /** Somebody else has a shard that was this node's under a term. */
   lost(shard: number, term: number): void;
-  stir(shard: number): void;
+  requestPlan(shard: number): void;
 }
 
 /** Who stands by for this node's shards, and for which others' it does; one for a node where that is enabled. */
@@ -84,7 +84,7 @@
       },
       present: (node) => this.members.presenceOf(node),
       lost: () => this.hooks.lost(shard, term),
-      stir: () => this.hooks.stir(shard),
+      requestPlan: () => this.hooks.requestPlan(shard),
     });
   }
 
@@ -129,7 +129,7 @@
   }
 
   /**
-   * Whether a shard is better off at home. Each way costs all its machines a greeting, so it goes there only when that takes
+   * Whether a shard is better off at home. Each way costs a question to each of its machines, so it goes there only when that takes
    * more off this node than it puts on the home node, or when that is where most of its machines are and this one is not.
    */
   gainsByGoingHome(shard: number): boolean {
--- a/src/shards/mailbox.ts
+++ b/src/shards/storedrequests.ts
@@ -6,7 +6,7 @@
 import type { World } from '../world/world.js';
 import type { Mirror } from './mirror.js';
 
-const letterValue = v.object({
+const requestValue = v.object({
   shard: v.number(),
   op: v.string(),
   args: v.record(v.string(), v.unknown()),
@@ -14,19 +14,19 @@
 });
 const answerValue = v.object({ answer: v.unknown(), at: v.number() });
 
-/** Older letters are not acted on: whoever sent one has given its user another answer by then. */
-const LETTER_MS = 4000;
-/** Letters that nobody has taken away are dropped after this. */
+/** Older requests are not acted on: whoever sent one has given its user another answer by then. */
+const REQUEST_MS = 4000;
+/** Requests that nobody has taken away are dropped after this. */
 const STALE_MS = 60_000;
 const DROPPED_AT_ONCE = 8;
 const REMEMBERED = 1000;
 
 /**
  * Questions to a shard's owner by way of the state service, for when two controllers cannot reach each other while both
- * reach it: a cut between zones, or a packet filter. A letter is a key under the prefix that every node watches anyway;
+ * reach it: a cut between zones, or a packet filter. A stored request is a key under the prefix that every node watches anyway;
  * the owner replaces it with its answer, and whoever sent it takes it away.
  */
-export class Mailbox {
+export class StoredRequests {
   private readonly waiting = new Map<string, (answer: unknown) => void>();
   private readonly seen = new Set<string>();
   private next = 0;
@@ -42,17 +42,17 @@
   async ask(shard: number, op: string, args: Record<string, unknown>, timeoutMs: number): Promise<unknown> {
     const value = { shard, op, args, at: Math.round(this.world.clock.wall()) };
     if (JSON.stringify(value).length > this.world.settings.stateLimits.valueKb * 1000)
-      throw new Error('too large for a letter');
-    const key = `${KEYS.mail}${this.world.run}-${this.next++}`;
+      throw new Error('too large for a stored request');
+    const key = `${KEYS.requests}${this.world.run}-${this.next++}`;
     let timer: Timer | null = null;
     const answered = new Promise((resolve, reject) => {
       this.waiting.set(key, resolve);
-      timer = this.world.clock.after(timeoutMs, () => reject(new Error('no answer to a letter')));
+      timer = this.world.clock.after(timeoutMs, () => reject(new Error('no answer to a stored request')));
     });
     answered.catch(() => undefined);
     try {
       const sent = await this.world.store.txn([{ key, version: 0 }], [{ put: key, value }]);
-      if (!sent.ok) throw new StateFailure('letter not sent', false);
+      if (!sent.ok) throw new StateFailure('stored request not sent', false);
       return await answered;
     } finally {
       (timer as Timer | null)?.cancel();
@@ -61,17 +61,17 @@
     }
   }
 
-  /** A letter or an answer has come. */
+  /** A stored request or an answer has come. */
   changed(key: string, entry: Entry): void {
     const answer = v.safeParse(answerValue, entry.value);
     if (answer.success) {
       this.waiting.get(key)?.(answer.output.answer);
       return;
     }
-    const letter = v.safeParse(letterValue, entry.value);
-    if (!letter.success || this.seen.has(key)) return;
-    const { shard, op, args, at } = letter.output;
-    if (this.world.clock.wall() - at > LETTER_MS + this.world.settings.skewMs) return;
+    const request = v.safeParse(requestValue, entry.value);
+    if (!request.success || this.seen.has(key)) return;
+    const { shard, op, args, at } = request.output;
+    if (this.world.clock.wall() - at > REQUEST_MS + this.world.settings.skewMs) return;
     const served = this.serve(shard, op, args);
     if (!served) return;
     this.seen.add(key);
@@ -85,7 +85,7 @@
       await this.world.store.txn([{ key, version }], [{ put: key, value }]);
     } catch (error) {
       // Whoever asked tells its user to come back.
-      this.world.log.debug({ error: String(error) }, 'letter not answered');
+      this.world.log.debug({ error: String(error) }, 'stored request not answered');
     }
   }
 
@@ -95,7 +95,7 @@
       await pause(this.world.clock, STALE_MS / 4);
       const stale: string[] = [];
       for (const [key, e] of this.mirror.entries) {
-        if (!key.startsWith(KEYS.mail)) continue;
+        if (!key.startsWith(KEYS.requests)) continue;
         const at = (e.value as { at?: unknown } | null)?.at;
         if (typeof at !== 'number' || this.world.clock.wall() - at > STALE_MS) stale.push(key);
       }
@@ -110,7 +110,7 @@
         keys.map((key) => ({ delete: key })),
       );
     } catch (error) {
-      this.world.log.debug({ error: String(error) }, 'letter not taken away');
+      this.world.log.debug({ error: String(error) }, 'stored request not taken away');
     }
   }
 }
--- a/src/standby/keeper.ts
+++ b/src/standby/keeper.ts
@@ -7,7 +7,7 @@
 import type { World } from '../world/world.js';
 import type { StruckOff } from './choice.js';
 import { Feed, type FeedSource } from './feed.js';
-import { type FeedRecord, readStandAnswer, readStandKey, type StandKey } from './messages.js';
+import { type FeedRecord, readStandAnswer, readStandKey, STANDBY_OPS, type StandKey } from './messages.js';
 import { acknowledged, mayAct, type Pledge, PROMISE_MS, sending, struckOff, UNBOUND } from './promise.js';
 
 /** The owner's messages to its standby. */
@@ -35,7 +35,7 @@
   /** Somebody else has the shard. */
   lost(): void;
   /** Starts announced before this, or others, may go on. */
-  stir(): void;
+  requestPlan(): void;
 }
 
 interface Standby {
@@ -245,7 +245,7 @@
       changes: this.changes,
     };
     try {
-      const answer = readStandAnswer(await this.mesh.ask(s.node, 'stand', message, PROMISE_MS));
+      const answer = readStandAnswer(await this.mesh.ask(s.node, STANDBY_OPS.stand, message, PROMISE_MS));
       if (!answer || this.stopped || this.standby !== s) return;
       this.pledge = acknowledged(this.pledge, s.revision, now);
       s.openSince = null;
@@ -257,7 +257,7 @@
         s.level = true;
         this.log.info({ standby: s.node, ms: Math.round(this.world.clock.now() - s.since) }, 'standby level');
       }
-      if (waited) this.hooks.stir();
+      if (waited) this.hooks.requestPlan();
     } catch (error) {
       this.log.debug({ standby: s.node, error: String(error) }, 'standby did not answer');
     } finally {
@@ -293,7 +293,7 @@
     s.feed.close(true);
     if (why !== 'home is back') this.struck.note(s.node, this.world.clock.now());
     this.log.info({ standby: s.node, why }, 'standby struck off');
-    this.hooks.stir();
+    this.hooks.requestPlan();
   }
 
   /**
@@ -305,7 +305,7 @@
     if (!s) return false;
     const message = { shard: this.shard, term: this.term, revision: s.revision, run: s.run };
     try {
-      return (await this.mesh.ask(s.node, 'assume', message, ASSUME_MS)) === true;
+      return (await this.mesh.ask(s.node, STANDBY_OPS.assume, message, ASSUME_MS)) === true;
     } catch (error) {
       this.log.info({ standby: s.node, error: String(error) }, 'handing over got no answer');
       return false;
--- a/src/standby/messages.ts
+++ b/src/standby/messages.ts
@@ -1,5 +1,8 @@
 import * as v from 'valibot';
 
+/** Names of the messages between an owner and its standby: to follow, and to take the shard over. */
+export const STANDBY_OPS = { stand: 'stand', assume: 'assume' } as const;
+
 /** What an owner tells its standby of its shard, one by one and in order. Times of day in milliseconds, images by name. */
 const name = v.pipe(v.string(), v.maxLength(300));
 const record = v.variant('t', [
--- a/src/standby/promise.ts
+++ b/src/standby/promise.ts
@@ -1,4 +1,4 @@
-// In this room: who stands by for a shard, what it follows, and when it may take over; nothing of how a shard is run.
+// This package: who stands by for a shard, what it follows, and when it may take over; nothing of how a shard is run.
 import { DRIFT } from '../clock/clock.js';
 
 /**
--- a/src/state/store.ts
+++ b/src/state/store.ts
@@ -1,4 +1,4 @@
-// In this room: dealings with the state service: its requests, within its rates.
+// This package: dealings with the state service: its requests, within its rates.
 import { type Clock, pause } from '../clock/clock.js';
 import { type HttpAnswer, HttpFailure, type Requester } from '../http/client.js';
 import {
--- a/src/supply/moves.ts
+++ b/src/supply/moves.ts
@@ -4,31 +4,32 @@
 
 /** Lesser work elsewhere is stopped for urgent tasks only when they would wait longer than this, one machine at a time. */
 const CLEAR_WAIT_S = 8;
-/** A machine is ceded where urgent work waits at least so long, and so much longer than in the shard that cedes it. */
-const CEDE_LEAST_S = 12;
-const CEDE_FACTOR = 1.25;
-const CEDE_MARGIN_S = 6;
-const CEDE_FEWEST = 3;
+/** A machine is reserved where urgent work waits at least so long, and so much longer than in the shard that reserves it. */
+const RESERVE_LEAST_S = 12;
+const RESERVE_FACTOR = 1.25;
+const RESERVE_MARGIN_S = 6;
+const RESERVE_FEWEST = 3;
 
 /**
  * From which shard to which a machine should go as its tasks end, where urgent work waits much longer in one than in
  * another: on full days no machine is ever empty, and shards would stay as they were parted.
  */
-export function chooseCeding(
+export function chooseReservation(
   told: readonly Gossip[],
   mostS: number,
 ): { from: number; to: number; need: Need; zone: string } | null {
   let to: Gossip | null = null;
   for (const g of told) if (!to || g.urgentS > to.urgentS) to = g;
   const need = to?.needs.find((n) => n.priority >= PRIORITY.high);
-  if (!to || !need || to.urgentS < CEDE_LEAST_S) return null;
+  if (!to || !need || to.urgentS < RESERVE_LEAST_S) return null;
   let from: Gossip | null = null;
   for (const g of told) {
-    if (g.shard === to.shard || g.machines < CEDE_FEWEST) continue;
+    if (g.shard === to.shard || g.machines < RESERVE_FEWEST) continue;
     if (!from || g.urgentS < from.urgentS) from = g;
   }
   // Where urgent work waits long itself nothing is gained: when all wait equally long, all may miss their aims.
-  if (!from || from.urgentS > mostS || from.urgentS * CEDE_FACTOR + CEDE_MARGIN_S > to.urgentS) return null;
+  if (!from || from.urgentS > mostS || from.urgentS * RESERVE_FACTOR + RESERVE_MARGIN_S > to.urgentS)
+    return null;
   return { from: from.shard, to: to.shard, need, zone: to.zone };
 }
 
--- a/src/supply/supply.ts
+++ b/src/supply/supply.ts
@@ -1,4 +1,4 @@
-// In this room: machines: renting and returning them, and which shard they go to.
+// This package: machines: renting and returning them, and which shard they go to.
 import { pause } from '../clock/clock.js';
 import { CloudFailure } from '../cloud/cloud.js';
 import type { Log } from '../config/log.js';
@@ -64,7 +64,7 @@
   needOf(jobClass: string): Amounts | null;
   /** Whether it has had no job yet, so that any class may be the first. */
   sawNothing(): boolean;
-  stir(): void;
+  requestPlan(): void;
 }
 
 /** A shard's machines come and go here: their records, rentals, and what is given back. */
@@ -116,7 +116,7 @@
       wanted.push({ option: w.option, count });
     }
     for (const w of wanted) void this.rent(w.option, w.count);
-    if (wanted.length > 0) this.hooks.stir();
+    if (wanted.length > 0) this.hooks.requestPlan();
   }
 
   private record(m: Machine, change: Partial<MachineRecord> = {}): MachineRecord {
@@ -214,7 +214,7 @@
       if (rented) await this.enter(rented, request, pending.at);
     } finally {
       this.rentals.delete(pending);
-      this.hooks.stir();
+      this.hooks.requestPlan();
     }
   }
 
--- a/src/tls/credentials.ts
+++ b/src/tls/credentials.ts
@@ -1,4 +1,4 @@
-// In this room: links to partner clusters over TLS: certificates, who is let in, and bounded frames.
+// This package: links to partner clusters over TLS: certificates, who is let in, and bounded frames.
 import { createPrivateKey, X509Certificate } from 'node:crypto';
 import { readFileSync, statSync } from 'node:fs';
 import type { Clock, Timer } from '../clock/clock.js';
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -1,4 +1,4 @@
-// In this room: formats of all interfaces, and the mapping of their names to the ones used inside.
+// This package: formats of all interfaces, and the mapping of their names to the ones used inside.
 import * as v from 'valibot';
 
 /** What users send and are told. The wire's own words for things stop in this package. */
--- a/src/workers/fleet.ts
+++ b/src/workers/fleet.ts
@@ -1,4 +1,4 @@
-// In this room: the machines of a shard as they report, and the orders to them.
+// This package: the machines of a shard as they report, and the orders to them.
 import type { Clock } from '../clock/clock.js';
 import { DRIFT } from '../clock/clock.js';
 import type { Log } from '../config/log.js';
@@ -41,7 +41,7 @@
    */
   announce(held: readonly Held[]): Promise<boolean> | null;
   /** Something changed that the plan should take in. */
-  stir(): void;
+  requestPlan(): void;
 }
 
 export interface StartOrder {
@@ -70,8 +70,8 @@
   private readonly stopping = new Set<Held>();
   private readonly contacting = new Set<string>();
   private readonly contactedAt = new Map<string, number>();
-  /** Machines whose turn to be greeted is still to come. */
-  private readonly greeting = new Set<string>();
+  /** Machines whose turn to be contacted is still to come. */
+  private readonly awaitingContact = new Set<string>();
   private stopped = false;
 
   constructor(
@@ -175,12 +175,12 @@
       if (!m.lost && begun && now > this.leaseEnd(m)) this.lose(m);
       if (m.unknown && now > this.unknownUntil(m)) {
         m.unknown = false;
-        this.hooks.stir();
+        this.hooks.requestPlan();
       }
       // One that was taken over and could not be asked at first (no socket free, no answer) is asked again as well.
       // So is one that gave no answer, until it gives one: its reports alone do not show that it hears.
       const asked = !m.synced || m.unreachableAt !== null;
-      if (asked && m.addr && !m.lost && begun && !this.greeting.has(m.id)) void this.contact(m, null);
+      if (asked && m.addr && !m.lost && begun && !this.awaitingContact.has(m.id)) void this.contact(m, null);
     }
   }
 
@@ -188,7 +188,7 @@
    * Another node was reported to by a machine of this shard and sent it here. As long as it neither comes nor answers it gets
    * nothing new: it may hear no answers, which is a fault of its own.
    */
-  strayed(id: string): void {
+  reportedElsewhere(id: string): void {
     const m = this.machines.get(id);
     if (!m?.synced || m.heardAt === null || this.clock.now() - m.heardAt <= nextReportMs(this.times.reportS))
       return;
@@ -259,10 +259,10 @@
     atOnce: number,
   ): Promise<void> {
     const waiting = [...machines];
-    for (const m of waiting) this.greeting.add(m.id);
+    for (const m of waiting) this.awaitingContact.add(m.id);
     const one = async () => {
       for (let m = waiting.shift(); m; m = waiting.shift()) {
-        this.greeting.delete(m.id);
+        this.awaitingContact.delete(m.id);
         if (this.stopped) return;
         const guess = sessionOf(m);
         await this.contact(m, guess);
@@ -277,7 +277,7 @@
     if (m.heardAt === null) {
       // Taken over and never heard of: what it may have held is gone, and it may well still boot.
       m.unknown = false;
-      this.hooks.stir();
+      this.hooks.requestPlan();
       return;
     }
     this.log.info({ machine: m.id, held: m.held.size }, 'machine lost: its lease ran out');
@@ -287,7 +287,7 @@
     // What its present session still reports is from before its lease ended.
     if (m.session > 0) m.minSession = m.session + 1;
     this.dropAll(m, 'lease over');
-    this.hooks.stir();
+    this.hooks.requestPlan();
   }
 
   private dropAll(m: Machine, why: GoneWhy): void {
@@ -345,7 +345,7 @@
       h.machine.held.delete(keyOf(h));
       this.hooks.gone(h, why);
     }
-    this.hooks.stir();
+    this.hooks.requestPlan();
   }
 
   private async renewToken(m: Machine): Promise<void> {
@@ -404,7 +404,7 @@
     if (m.heardAt === null) {
       // Until now it booted; only from here on does it stand idle.
       m.idleSince = now;
-      this.hooks.stir();
+      this.hooks.requestPlan();
     }
     const stays = m.heardAt !== null && now - m.heardAt <= nextReportMs(this.times.reportS);
     if (via === 'command' || stays) m.unreachableAt = null;
@@ -412,18 +412,18 @@
     if (m.lost) {
       m.lost = false;
       m.answeredAt = now;
-      this.hooks.stir();
+      this.hooks.requestPlan();
     }
     if (r.noticeS !== null) {
       const until = now + r.noticeS * 1000;
-      if (m.noticeUntil === null) this.hooks.stir();
+      if (m.noticeUntil === null) this.hooks.requestPlan();
       m.noticeUntil = m.noticeUntil === null ? until : Math.min(m.noticeUntil, until);
     }
     if (weight === 'untokened') return weight;
     m.unheard = 0;
     if (!m.synced) {
       m.synced = true;
-      this.hooks.stir();
+      this.hooks.requestPlan();
     }
     this.reconcile(m, r, via);
     m.unknown = false;
--- a/src/world/world.ts
+++ b/src/world/world.ts
@@ -1,4 +1,4 @@
-// In this room: what all parts of one node share.
+// This package: what all parts of one node share.
 import type { Clock } from '../clock/clock.js';
 import type { Cloud } from '../cloud/cloud.js';
 import type { Log } from '../config/log.js';
--- a/tests/server.test.ts
+++ b/tests/server.test.ts
@@ -122,7 +122,7 @@
   steady.write(post);
   await Promise.all([once(trickle, 'connect'), once(steady, 'connect')]);
   for (let i = 0; i < 20; i++) await turn();
-  // The process stands still: nobody is to blame for what it did not read.
+  // The process stands still: nobody is to failures for what it did not read.
   still += 30_000;
   await clock.advance(1000);
   const ended = closed(trickle);
