--- a/src/emulator/local.ts
+++ b/src/emulator/local.ts
@@ -97,9 +97,9 @@
     this.http = new HttpClient(this.clock, { maxSockets: 8000, bodyBytes: 1024 * 1024 });
     this.state = new StateService(this.clock);
     this.state.observed = (r) => {
-      const refused = r.status === 429 ? ' refused' : '';
-      this.traffic.add(`state ${r.kind}${refused}`, r.requestBytes);
-      this.traffic.add(`state ${r.kind}${refused} answer`, r.answerBytes);
+      const kind = `state ${r.kind}${r.prefix ? ` ${r.prefix}` : ''}${r.status === 429 ? ' refused' : ''}`;
+      this.traffic.add(kind, r.requestBytes);
+      this.traffic.add(`${kind} answer`, r.answerBytes);
     };
     const { rps, write_rps, value_kb, txn_ops } = platform.state;
     this.state.limits = {
--- a/src/emulator/reporter.ts
+++ b/src/emulator/reporter.ts
@@ -27,6 +27,7 @@
   private at = 0;
   private sentAt = Number.NEGATIVE_INFINITY;
   private timer: Timer | null = null;
+  private leaseTimer: Timer | null = null;
   private flying = false;
   private changed = false;
   private stopped = false;
@@ -42,11 +43,20 @@
   ) {
     this.at = Math.floor(random.next() * nodes.length);
     this.schedule(0);
+    this.watchLease();
   }
 
   stop(): void {
     this.stopped = true;
     this.timer?.cancel();
+    this.leaseTimer?.cancel();
+  }
+
+  /** Ends the lease when its time is over, and not only when the worker next reports. */
+  private watchLease(): void {
+    if (this.stopped) return;
+    this.worker.checkLease();
+    this.leaseTimer = this.clock.after(Math.max(0, this.worker.leaseLeftMs) + 1, () => this.watchLease());
   }
 
   /** Something changed that is told soon. */
--- a/src/emulator/state.ts
+++ b/src/emulator/state.ts
@@ -38,6 +38,8 @@
 
 export interface ObservedRequest {
   kind: RequestKind;
+  /** What a watch or list asks for; empty for all else. */
+  prefix: string;
   /** Which caller it came from. */
   from: string;
   status: number;
@@ -133,6 +135,7 @@
     const writes = path === '/txn' ? (readTxnRequest(body)?.writes.length ?? 0) : 0;
     this.observed?.({
       kind: kindOf(path),
+      prefix: prefixOf(path),
       from,
       status: served.status,
       requestBytes: bodyBytes(body),
@@ -293,6 +296,11 @@
   }
 }
 
+function prefixOf(path: string): string {
+  const query = path.indexOf('?');
+  return query < 0 ? '' : (new URLSearchParams(path.slice(query)).get('under') ?? '');
+}
+
 function kindOf(path: string): RequestKind {
   if (path.startsWith('/watch')) return 'watch';
   if (path === '/txn') return 'txn';
--- a/src/emulator/worker.ts
+++ b/src/emulator/worker.ts
@@ -125,9 +125,14 @@
     return this.attempts.some((a) => a.task === task && a.state !== 'exited');
   }
 
+  /** How long its lease still lasts, in milliseconds; below 0 once it is over. */
+  get leaseLeftMs(): number {
+    return this.lastSent + this.leaseS * 1000 - this.clock.now();
+  }
+
   /** The lease runs on its own clock, whoever asks. */
   checkLease(): void {
-    if (this.clock.now() - this.lastSent <= this.leaseS * 1000) return;
+    if (this.leaseLeftMs >= 0) return;
     this.session++;
     this.lastSent = this.clock.now();
     this.die();
--- a/src/keys/keys.ts
+++ b/src/keys/keys.ts
@@ -38,9 +38,9 @@
  * parts, done tasks whose layout the record states, partings of teams in several records. Nothing of a level is written
  * or sent before every node understands it: an older one would drop what it cannot read.
  */
-export const LEVEL = 2;
+export const PROTOCOL_VERSION = 2;
 /** Jobs with match expressions as well; said only by nodes that serve them, which is up to their operators. */
-export const MATCH_LEVEL = 3;
+export const MATCH_PROTOCOL_VERSION = 3;
 
 const holder = v.object({
   node: v.string(),
@@ -48,7 +48,7 @@
   lease: v.number(),
   /** In the key of a node: the workers cannot reach it, and it takes no shard. */
   aside: v.optional(v.boolean()),
-  /** In the key of a node: which level of records and messages it understands. The first version says nothing. */
+  /** In the key of a node: which version of records and messages it understands. The first version says nothing. */
   speaks: v.optional(v.number()),
   /** In the key of a node: it stands by for shards (docs/standby.md). */
   stands: v.optional(v.boolean()),
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -27,7 +27,7 @@
   private validUntil = Number.NEGATIVE_INFINITY;
   private left = false;
   /** Whether this node takes no shards, and whether its presence is sure to say so. */
-  private standsAside = false;
+  private isWithdrawn = false;
   private shown = false;
   private renewedAt = Number.NEGATIVE_INFINITY;
   private failingSince: number | null = null;
@@ -44,7 +44,7 @@
     private readonly log: Log,
     onChange: Mirror['entries'] extends Map<string, infer E> ? (key: string, entry: E | null) => void : never,
     private readonly onLost: () => void,
-    /** Which level of records and messages this node understands. */
+    /** Which version of records and messages this node understands. */
     private readonly speaks: number,
     /** Whether this node stands by for shards. */
     private readonly stands: boolean,
@@ -108,12 +108,12 @@
       speaks: this.speaks,
       feeds: true,
       ...(this.stands && { stands: true }),
-      ...(this.standsAside && { aside: true }),
+      ...(this.isWithdrawn && { aside: true }),
     };
   }
 
   /**
-   * Whether every one of these nodes understands a level. A node that is there says so itself, so that one that came back
+   * Whether every one of these nodes understands a version. A node that is there says so itself, so that one that came back
    * with an older version counts as that; of one that is away, the last that it said counts.
    */
   allSpeak(nodes: readonly string[], level: number): boolean {
@@ -125,7 +125,7 @@
   }
 
   /** Says for good what this node understands. */
-  private async tellLevel(): Promise<void> {
+  private async tellProtocolVersion(): Promise<void> {
     const key = KEYS.speaks(this.node);
     try {
       const known = await this.store.get(key);
@@ -135,8 +135,8 @@
       const told = await this.store.txn(when, [{ put: key, value: this.speaks }]);
       if (!told.ok) throw new StateFailure('something else was said meanwhile', false);
     } catch (error) {
-      this.log.info({ error: String(error) }, 'level not told');
-      this.clock.after(RETRY_MS * 5, () => void this.tellLevel());
+      this.log.info({ error: String(error) }, 'protocol version not told');
+      this.clock.after(RETRY_MS * 5, () => void this.tellProtocolVersion());
     }
   }
 
@@ -207,13 +207,13 @@
   }
 
   /** Whether a node leaves its shards to others. */
-  aside(node: string): boolean {
+  withdrawn(node: string): boolean {
     return this.presenceOf(node)?.aside === true;
   }
 
   /** Tells the others whether this node takes shards; what cannot be told now is told with a later renewal of the lease. */
-  async tellAside(aside: boolean): Promise<void> {
-    this.standsAside = aside;
+  async tellWithdrawn(withdrawn: boolean): Promise<void> {
+    this.isWithdrawn = withdrawn;
     this.shown = false;
     if (this.lease !== null) await this.show(this.lease);
   }
@@ -251,7 +251,7 @@
       }
     }
     void this.keep();
-    void this.tellLevel();
+    void this.tellProtocolVersion();
   }
 
   /** A run of this node before this one is dead: its lease need not be waited out. */
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -4,7 +4,13 @@
 import { FEED_OPS } from '../feed/messages.js';
 import type { Job, JobEntry } from '../jobs/job.js';
 import { readSpec } from '../jobs/records.js';
-import { KEYS, LEVEL, MATCH_LEVEL, readHolder, readMachineRecord } from '../keys/keys.js';
+import {
+  KEYS,
+  MATCH_PROTOCOL_VERSION,
+  PROTOCOL_VERSION,
+  readHolder,
+  readMachineRecord,
+} from '../keys/keys.js';
 import type { Mesh } from '../peer/mesh.js';
 import { type StatusAnswer, type SubmitAnswer, Unavailable } from '../shard/answers.js';
 import { readClaims } from '../shard/waiting.js';
@@ -71,7 +77,7 @@
       world.log,
       (key, entry) => this.changed(key, entry),
       () => this.own.dropAll(),
-      world.matcher ? MATCH_LEVEL : LEVEL,
+      world.matcher ? MATCH_PROTOCOL_VERSION : PROTOCOL_VERSION,
       standbys !== null,
       nodeLease(s.workers).leaseMs,
       (node) => regionOfNode(s, node),
@@ -128,7 +134,7 @@
       home: (shard) => this.own.home(shard),
       order: this.own.order,
       zoneOf: (node) => this.own.zones.get(node) ?? '',
-      aside: () => this.own.reach.aside || this.leaving,
+      withdrawn: () => this.own.reach.withdrawn || this.leaving,
       taken: (shard, term, from) => this.own.take(shard, term, from),
       lost: (shard, term) => this.own.superseded(shard, term + 1),
       requestPlan: (shard) => this.own.shards.get(shard)?.requestPlan(),
--- a/src/shards/owners.ts
+++ b/src/shards/owners.ts
@@ -1,6 +1,6 @@
 import type { JobEntry } from '../jobs/job.js';
 import { standing } from '../jobs/standing.js';
-import { LEVEL, MATCH_LEVEL } from '../keys/keys.js';
+import { MATCH_PROTOCOL_VERSION, PROTOCOL_VERSION } from '../keys/keys.js';
 import { Answered, type Mesh } from '../peer/mesh.js';
 import { NOT_READY, type Others, OwnerAway, Unavailable } from '../shard/answers.js';
 import type { Shard } from '../shard/shard.js';
@@ -123,12 +123,12 @@
 
   /** Whether every node understands what the first version did not. */
   get allRead(): boolean {
-    return this.members.allSpeak(this.nodes, LEVEL);
+    return this.members.allSpeak(this.nodes, PROTOCOL_VERSION);
   }
 
   /** Whether every node understands jobs with match expressions. */
   get allMatch(): boolean {
-    return this.members.allSpeak(this.nodes, MATCH_LEVEL);
+    return this.members.allSpeak(this.nodes, MATCH_PROTOCOL_VERSION);
   }
 
   /** What a shard here needs of the others. */
--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -17,7 +17,7 @@
 /** How long a shard stays its dead home node's to take again. */
 const ADOPT_AFTER_MS = 1500;
 const HAND_BACK_AFTER_MS = 6000;
-/** A node that stands aside takes a shard all the same when nobody else has for so long. */
+/** A node that has withdrawn takes a shard all the same when nobody else has for so long. */
 const NOBODY_ELSE_MS = 12_000;
 /** Machines that are asked whether this node reaches them again, and how many must answer. */
 const PROBES = 5;
@@ -98,7 +98,7 @@
 
   private claimLoop(): void {
     if (this.members.valid && this.members.mirror.ready) {
-      this.considerStandingAside();
+      this.considerWithdrawing();
       this.considerGivingUp();
       for (let k = 0; k < this.world.settings.nodes; k++) this.consider(k);
       this.considerLeading();
@@ -109,8 +109,8 @@
   // --- cut off from the workers
 
   /** A node that machines cannot reach leaves its shards to others, and comes back when it reaches machines again. */
-  private considerStandingAside(): void {
-    if (this.reach.aside) {
+  private considerWithdrawing(): void {
+    if (this.reach.withdrawn) {
       if (this.reach.mayReturn && !this.probing) void this.probe();
       return;
     }
@@ -127,15 +127,15 @@
       }
     }
     if (known === 0 || !this.reach.cutOff(known, coming) || this.world.settings.peers.length === 0) return;
-    this.reach.standAside();
+    this.reach.withdraw();
     this.world.log.warn({ machines: known }, 'workers cannot reach this node: leaving its shards to others');
     const shards = [...this.shards.values()];
     const left = shards.filter((s) => !this.successorOf(s));
     for (const s of left) this.drop(s);
     for (const s of shards) if (!left.includes(s)) void this.switchOver(s, 'workers cannot reach this node');
     void this.members
-      .tellAside(true)
-      .catch((error) => this.world.log.info({ error: String(error) }, 'standing aside not told'))
+      .tellWithdrawn(true)
+      .catch((error) => this.world.log.info({ error: String(error) }, 'withdrawal not told'))
       .then(() => Promise.all(left.map((s) => this.release(s.index, s.term))));
   }
 
@@ -224,7 +224,7 @@
       if (answered < Math.min(PROBES_ANSWERED, asked.length)) return;
       this.reach.comeBack();
       this.world.log.info('workers can be reached again');
-      await this.members.tellAside(false);
+      await this.members.tellWithdrawn(false);
     } catch (error) {
       this.world.log.info({ error: String(error) }, 'coming back not told');
     } finally {
@@ -246,14 +246,14 @@
 
   /**
    * How long this node waits before it takes a key that nobody holds: first the home node, then the others in turn.
-   * Nobody waits for one that stands aside.
+   * Nobody waits for one that has withdrawn.
    */
   private patience(shard: number): number {
-    if (this.reach.aside) return NOBODY_ELSE_MS;
+    if (this.reach.withdrawn) return NOBODY_ELSE_MS;
     const n = this.order.length;
     let wait = 0;
     for (let i = 0; this.order[(shard + i) % n] !== this.world.settings.node; i++) {
-      if (!this.members.aside(this.order[(shard + i) % n]!)) wait += ADOPT_AFTER_MS;
+      if (!this.members.withdrawn(this.order[(shard + i) % n]!)) wait += ADOPT_AFTER_MS;
     }
     return wait;
   }
@@ -329,7 +329,7 @@
   private considerHandBack(k: number): void {
     const home = this.home(k);
     const now = this.world.clock.now();
-    if (home === this.world.settings.node || !this.members.present(home) || this.members.aside(home)) {
+    if (home === this.world.settings.node || !this.members.present(home) || this.members.withdrawn(home)) {
       this.homeSince.delete(k);
       return;
     }
--- a/src/shards/reach.ts
+++ b/src/shards/reach.ts
@@ -9,7 +9,7 @@
 const FEWEST = 2;
 const SHARE = 0.5;
 const STILL_COMING = 0.1;
-/** A node that was cut off stays aside for this long at least, and for twice as long each time it happens again soon. */
+/** A node that was cut off stays withdrawn for this long at least, and for twice as long each time it happens again soon. */
 const ASIDE_MS = 10_000;
 const ASIDE_MOST_MS = 160_000;
 const FORGIVEN_MS = 300_000;
@@ -33,7 +33,7 @@
   private asideMs = ASIDE_MS;
   private endedAt = Number.NEGATIVE_INFINITY;
   /** The node leaves its shards to others, since the workers cannot reach it. */
-  aside = false;
+  withdrawn = false;
 
   constructor(private readonly clock: Clock) {}
 
@@ -68,21 +68,21 @@
     return astray >= Math.max(FEWEST, known * SHARE);
   }
 
-  standAside(): void {
+  withdraw(): void {
     const now = this.clock.now();
     this.asideMs = now - this.endedAt < FORGIVEN_MS ? Math.min(ASIDE_MOST_MS, this.asideMs * 2) : ASIDE_MS;
     this.until = now + this.asideMs;
-    this.aside = true;
+    this.withdrawn = true;
     this.told.clear();
   }
 
   /** Whether it is time to see if machines can be reached again. */
   get mayReturn(): boolean {
-    return this.aside && this.clock.now() >= this.until;
+    return this.withdrawn && this.clock.now() >= this.until;
   }
 
   comeBack(): void {
-    this.aside = false;
+    this.withdrawn = false;
     this.endedAt = this.clock.now();
     this.told.clear();
   }
--- a/src/shards/standbys.ts
+++ b/src/shards/standbys.ts
@@ -20,7 +20,7 @@
   order: readonly string[];
   zoneOf(node: string): string;
   /** This node takes no shard, since the workers cannot reach it. */
-  aside(): boolean;
+  withdrawn(): boolean;
   /** A shard has been taken over under a new term. */
   taken(shard: number, term: number, from: Taken): void;
   /** Somebody else has a shard that was this node's under a term. */
@@ -49,7 +49,7 @@
       now: () => clock.now(),
       after: (ms, run) => void clock.after(ms, run),
       run: world.run,
-      mayTake: () => members.valid && members.mirror.ready && !hooks.aside(),
+      mayTake: () => members.valid && members.mirror.ready && !hooks.withdrawn(),
       refused: (node) => mesh.refused(node),
       seen: (shard) => ({
         owner: members.mirror.entries.get(KEYS.owner(shard))?.version ?? 0,
@@ -101,7 +101,7 @@
 
   private fit(node: string): boolean {
     if (this.struck.waits(node, this.world.clock.now())) return false;
-    return this.stands(node) && !this.members.aside(node) && this.mesh.connected(node);
+    return this.stands(node) && !this.members.withdrawn(node) && this.mesh.connected(node);
   }
 
   /** Machines of each shard by zone, counted now and then. */
--- a/tests/deaf.test.ts
+++ b/tests/deaf.test.ts
@@ -97,7 +97,7 @@
   end();
 });
 
-// Guards against an owner that stands aside for a fault of its machines: each of them was sent to it by others, and at a
+// Guards against an owner that withdraws for a fault of its machines: each of them was sent to it by others, and at a
 // moment none came, since all of them wait for answers at the same time.
 test('machines that are all deaf are no reason to hand over; a cancellation and a notice meanwhile are kept', async () => {
   const c = await busy(3);
--- a/tests/emulator.test.ts
+++ b/tests/emulator.test.ts
@@ -2,10 +2,12 @@
 import { test } from 'node:test';
 import { Market } from '../src/emulator/market.js';
 import { Random } from '../src/emulator/random.js';
+import { Reporter } from '../src/emulator/reporter.js';
 import { StateService } from '../src/emulator/state.js';
 import type { TaskEvent } from '../src/emulator/tasks.js';
 import { Tasks } from '../src/emulator/tasks.js';
 import { Worker } from '../src/emulator/worker.js';
+import type { Requester } from '../src/http/client.js';
 import { checkHistory, LeftWaiting, startName, type UserEvent } from '../src/load/check.js';
 import { sharesOf } from '../src/load/served.js';
 import { type JobSpec, readJob } from '../src/wire/users.js';
@@ -312,3 +314,20 @@
     ['c/b'],
   );
 });
+
+// Guards against a stand-in that keeps tasks for up to a second after its lease: machines behind a cut seemed to run tasks twice.
+test('an emulated worker that is cut off ends its tasks when its lease is over, not when it next reports', async () => {
+  const clock = new FakeClock();
+  const place = { id: 'm-1', addr: 'a:1', type: 'c8', zone: 'a', spot: false };
+  const worker: Worker = new Worker(clock, place, 16);
+  const nodes = [{ node: 'n0', addr: 'n:0' }];
+  const silent: Requester = { request: () => new Promise(() => undefined) };
+  const reporter = new Reporter(clock, silent, new Random(1), worker, nodes, 2.5);
+  await clock.advance(10);
+  worker.serve('POST', '/do', { baton: 1, shift: 1, orders: [{ verb: 'run', piece: 'wk-1/0', try: 1 }] });
+  await clock.advance(15_980);
+  assert.deepEqual([worker.attempts.length, worker.session], [1, 1]);
+  await clock.advance(20);
+  assert.deepEqual([worker.attempts.length, worker.session], [0, 2]);
+  reporter.stop();
+});
--- a/tests/reach.test.ts
+++ b/tests/reach.test.ts
@@ -24,12 +24,12 @@
   await clock.advance(20_000);
   send(1);
   assert.equal(reach.cutOff(1, 0), false, 'one machine has a fault of its own');
-  reach.standAside();
+  reach.withdraw();
   assert.equal(reach.mayReturn, false);
   await clock.advance(10_000);
   assert.equal(reach.mayReturn, true);
   reach.comeBack();
-  reach.standAside();
+  reach.withdraw();
   await clock.advance(10_000);
   assert.equal(reach.mayReturn, false, 'longer when it happens again soon');
 });
--- a/tests/writes.test.ts
+++ b/tests/writes.test.ts
@@ -53,15 +53,15 @@
   );
   const { members } = c.nodes.get('n0')!.node;
   lost = 0;
-  void members.tellAside(true).catch(() => undefined);
+  void members.tellWithdrawn(true).catch(() => undefined);
   await c.clock.advance(3000);
-  void members.tellAside(false).catch(() => undefined);
+  void members.tellWithdrawn(false).catch(() => undefined);
   await c.clock.advance(12_000);
   assert.equal(shown()?.aside ?? false, false);
   // What could not be told at all is told with a later renewal.
   c.net.fate = (from, addr, _method, path) =>
     from === 'n0' && addr === STATE && path === '/txn' ? 'refuse' : 'deliver';
-  void members.tellAside(true).catch(() => undefined);
+  void members.tellWithdrawn(true).catch(() => undefined);
   await c.clock.advance(1000);
   c.net.fate = () => 'deliver';
   await c.clock.advance(5000);
