--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -19,8 +19,8 @@
   node: string;
   prefix: string;
   regionOf: (node: string) => string;
-  /** What the state service allows all nodes together. */
-  requestsPerSecond: number;
+  /** This node's even part of the state service's requests, a second. */
+  requestsPart: number;
   /** Nodes that are present and pass changes on, as this node's copy of the keys shows them. */
   present: () => Present[];
   /** Whether the state service serves this node at present, as far as it knows by other requests. */
@@ -199,7 +199,7 @@
   }
 
   private paceMs(order: SourceOrder, first: boolean): number {
-    return watchPaceMs(first, order.firsts, this.options.requestsPerSecond);
+    return watchPaceMs(first, order.firsts, this.options.requestsPart);
   }
 
   /** How long this node may lack what another one knows, while all is well. */
--- a/src/shards/members.ts
+++ b/src/shards/members.ts
@@ -51,13 +51,14 @@
     /** How long its lease lasts, in milliseconds. */
     private readonly leaseMs: number,
     regionOf: (node: string) => string,
-    requestsPerSecond: number,
+    /** Its even part of the state service's requests, a second. */
+    requestsPart: number,
   ) {
     this.feed = new ChangeFeed(clock, store, log, {
       node,
       prefix: KEYS.cluster,
       regionOf,
-      requestsPerSecond,
+      requestsPart,
       present: () => this.feeding(),
       served: () => this.failingMs < UNSERVED_MS,
     });
--- a/src/shards/node.ts
+++ b/src/shards/node.ts
@@ -81,7 +81,7 @@
       standbys !== null,
       nodeLease(s.workers).leaseMs,
       (node) => regionOfNode(s, node),
-      s.stateLimits.rps,
+      s.stateLimits.rps / s.nodes,
     );
     const shards = () => this.own.shards;
     this.storedRequests = new StoredRequests(world, this.members.mirror, (shard, op, args) => {
