--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,4 +1,4 @@
-// In this room: the commands that people give: a cluster on one machine, jobs, load.
+// This package: the commands that people give: a cluster on one machine, jobs, load.
 import { Command, CommanderError } from 'commander';
 import { Rejected, Unreachable } from '../client/client.js';
 import { JobFileError } from '../client/jobfile.js';
