spartray scale refuses a data directory that holds another run's state

Change: code 2 and the directory, before anything starts, with a test. Measured: the test passes; nothing else was run with it.

--- a/src/cli/scale.ts
+++ b/src/cli/scale.ts
@@ -103,6 +103,7 @@
     const { workers, controllers, teams, starts: startsPerSecond } = flags;
     const sizes = { workers, controllers, teams, startsPerSecond };
     scale.checkSizes(sizes);
+    scale.checkUnused(flags.data);
     const scenario = scale.sizedScenario(loadScenario(file), sizes);
     const platform = scale.sizedPlatform(loadPlatform(flags.machines), sizes);
     const { cluster, stop } = await startLocal({ ...flags, standby: true }, platform);
--- a/src/emulator/local.ts
+++ b/src/emulator/local.ts
@@ -57,6 +57,8 @@
 }
 
 const HOST = '127.0.0.1';
+/** In the data directory: what outlives the cluster. */
+export const STATE_FILE = 'state.msgpack';
 const RESTART_MS = 4000;
 const STOP_MS = 3000;
 const SAVE_MS = 2000;
@@ -384,7 +386,7 @@
   // --- what outlives the cluster
 
   private get file(): string {
-    return join(this.options.data, 'state.msgpack');
+    return join(this.options.data, STATE_FILE);
   }
 
   private restore(): void {
--- a/src/load/scale.ts
+++ b/src/load/scale.ts
@@ -1,5 +1,8 @@
+import { existsSync } from 'node:fs';
 import { totalmem } from 'node:os';
+import { join } from 'node:path';
 import { SettingsError } from '../config/settings.js';
+import { STATE_FILE } from '../emulator/local.js';
 import type { Platform } from '../emulator/platform.js';
 import { MOST_CONTROLLERS, WORKER_PORTS } from '../emulator/ports.js';
 import type { Scenario } from './scenario.js';
@@ -47,6 +50,15 @@
   }
 }
 
+/**
+ * Fails with `SettingsError` when a directory holds the state of another run: the same seed makes the same names of jobs,
+ * and the rules would be held against two jobs of one name.
+ */
+export function checkUnused(data: string | undefined): void {
+  if (data !== undefined && existsSync(join(data, STATE_FILE)))
+    throw new SettingsError(`data: ${data} holds the state of another run`);
+}
+
 /** A platform with so many workers, all up from the start, and so many equal teams. */
 export function sizedPlatform(base: Platform, sizes: Sizes): Platform {
   const before = base.capacity.reduce((sum, c) => sum + c.count, 0);
--- a/tests/scale.test.ts
+++ b/tests/scale.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import net from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { test } from 'node:test';
 import { pause, systemClock } from '../src/clock/clock.js';
 import { Network } from '../src/emulator/network.js';
@@ -36,6 +39,12 @@
   const unknown = await run(MAIN, ['scale', 'examples/morning.toml', '--controllers', '99']);
   assert.equal(unknown.code, 2);
   assert.match(unknown.err, /controllers/);
+  const data = mkdtempSync(join(tmpdir(), 'spartray-used-'));
+  writeFileSync(join(data, 'state.msgpack'), '');
+  const used = await run(MAIN, ['scale', SCENARIO, '--machines', PLATFORM, '--data', data]);
+  rmSync(data, { recursive: true });
+  assert.equal(used.code, 2);
+  assert.match(used.err, /holds the state of another run/);
   assert.ok(performance.now() - begun < 20_000);
 });
 
