Scale run: one way to work out a process's use; no transaction is read twice for a count that nobody used

Cause: the phases and the worker alone each worked out processor time and memory; the stand-in of the state service read each transaction once more for a number of writes that nothing reads.

Change: coresBetween and residentMb in src/load/processes.ts serve both; the field is gone. Behaviour of the reports unchanged.

--- a/src/emulator/state.ts
+++ b/src/emulator/state.ts
@@ -45,8 +45,6 @@
   status: number;
   requestBytes: number;
   answerBytes: number;
-  /** Puts and deletes that it asked for. */
-  writes: number;
 }
 
 /** What stays of the service when it ends in good order. */
@@ -132,7 +130,6 @@
   }
 
   private observe(path: string, body: unknown, from: string, served: Served): Served {
-    const writes = path === '/txn' ? (readTxnRequest(body)?.writes.length ?? 0) : 0;
     this.observed?.({
       kind: kindOf(path),
       prefix: prefixOf(path),
@@ -140,7 +137,6 @@
       status: served.status,
       requestBytes: bodyBytes(body),
       answerBytes: bodyBytes(served.body),
-      writes,
     });
     return served;
   }
--- a/src/load/lone.ts
+++ b/src/load/lone.ts
@@ -5,7 +5,7 @@
 import type { HollowOptions } from '../emulator/hollow.js';
 import { HttpServer } from '../http/server.js';
 import { readReport, type TaskReport, writeOrders } from '../wire/workers.js';
-import { type ProcessUse, processUse } from './processes.js';
+import { coresBetween, processUse, residentMb } from './processes.js';
 
 /** What control costs one worker, above an empty process of the same kind. */
 export interface WorkerCost {
@@ -36,7 +36,6 @@
 }
 
 const HOST = '127.0.0.1';
-const MB = 1024 * 1024;
 
 /** Measures one hollow worker alone in a process, at rest and at the peak. Fails where a port is taken. */
 export async function measureLoneWorker(options: LoneOptions): Promise<WorkerCost[]> {
@@ -95,25 +94,20 @@
   await pause(systemClock, options.secondsPerPhase * 1000);
   const seconds = (systemClock.now() - begun) / 1000;
   const after = uses();
-  const cores = (i: number) => rate(before[i] ?? null, after[i] ?? null, seconds);
-  const residentMb = (i: number) => (after[i]?.residentBytes ?? 0) / MB;
+  const cores = (i: number) => coresBetween(before[i] ?? null, after[i] ?? null, seconds);
   return {
     phase,
     seconds,
     cores: cores(0),
     emptyCores: cores(1),
-    residentMb: residentMb(0),
-    emptyResidentMb: residentMb(1),
+    residentMb: residentMb(after[0] ?? null),
+    emptyResidentMb: residentMb(after[1] ?? null),
     sentBytes: (link.bytes.sent - bytes.sent) / seconds,
     receivedBytes: (link.bytes.received - bytes.received) / seconds,
     startsPerSecond: phase === 'peak' ? options.startsPerSecond : 0,
   };
 }
 
-function rate(before: ProcessUse | null, after: ProcessUse | null, seconds: number): number {
-  return before && after ? (after.cpuS - before.cpuS) / seconds : 0;
-}
-
 /** Answers one worker's reports, and keeps so many tasks running by orders in the answers. */
 class LoneController {
   private tasks = 0;
--- a/src/load/measure.ts
+++ b/src/load/measure.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../clock/clock.js';
 import type { LocalCluster } from '../emulator/local.js';
 import { type Flow, ratesBetween } from '../emulator/traffic.js';
-import { type ProcessUse, processUse } from './processes.js';
+import { coresBetween, type ProcessUse, processUse, residentMb } from './processes.js';
 import type { Scenario } from './scenario.js';
 
 /** What one controller used while a phase lasted. */
@@ -36,7 +36,6 @@
   own: ProcessUse | null;
 }
 
-const MB = 1024 * 1024;
 const STORED_UNDER = ['c/m/', 'c/own/', 'c/stand/', 'c/node/', 'c/teams', 'c/mail/', 'act/', 'part/', 'job/'];
 const LAG_RESOLUTION_MS = 10;
 
@@ -78,8 +77,6 @@
     const seconds = (after.at - before.at) / 1000;
     const { state, controllers, machines } = this.cluster;
     const nodeOf = (key: string) => (state.value(key) as { node?: string } | undefined)?.node;
-    const cores = (then: ProcessUse | null, now: ProcessUse | null) =>
-      then && now && now.cpuS >= then.cpuS ? (now.cpuS - then.cpuS) / seconds : 0;
     const owners = controllers.map((_, shard) => nodeOf(`c/own/${shard}`));
     let tasks = 0;
     for (const m of machines.values()) for (const a of m.worker.attempts) if (a.state === 'running') tasks++;
@@ -90,13 +87,13 @@
         node: c.node,
         leader: nodeOf('c/lead') === c.node,
         shards: owners.filter((owner) => owner === c.node).length,
-        cores: cores(before.uses[i]!, after.uses[i]!),
-        residentMb: (after.uses[i]?.residentBytes ?? 0) / MB,
+        cores: coresBetween(before.uses[i]!, after.uses[i]!, seconds),
+        residentMb: residentMb(after.uses[i]!),
         sockets: after.uses[i]?.sockets ?? 0,
       })),
       emulator: {
-        cores: cores(before.own, after.own),
-        residentMb: (after.own?.residentBytes ?? 0) / MB,
+        cores: coresBetween(before.own, after.own, seconds),
+        residentMb: residentMb(after.own),
         lagP99Ms: lag.percentile(99) / 1e6,
       },
       traffic: ratesBetween(before.traffic, after.traffic, seconds),
--- a/src/load/processes.ts
+++ b/src/load/processes.ts
@@ -12,6 +12,7 @@
 /** Clock ticks a second and bytes a page, as on every common Linux. */
 const TICKS_PER_S = 100;
 const PAGE_BYTES = 4096;
+const MB = 1024 * 1024;
 /** Fields of `/proc/PID/stat` after the command's name, which may hold spaces. */
 const USER_TICKS = 11;
 const SYSTEM_TICKS = 12;
@@ -40,3 +41,13 @@
   }
   return sockets;
 }
+
+/** Processor seconds a second between two looks at a process; 0 when it was not there at both, or was started anew. */
+export function coresBetween(before: ProcessUse | null, after: ProcessUse | null, seconds: number): number {
+  return before && after && after.cpuS >= before.cpuS ? (after.cpuS - before.cpuS) / seconds : 0;
+}
+
+/** Resident memory in MB; 0 for a process that is not there. */
+export function residentMb(use: ProcessUse | null): number {
+  return (use?.residentBytes ?? 0) / MB;
+}
--- a/src/load/scalerun.ts
+++ b/src/load/scalerun.ts
@@ -39,6 +39,7 @@
 export class ScaleRun {
   private readonly load: Load;
   private readonly measurement: Measurement;
+  private readonly workers: Platform['workers'];
 
   constructor(
     private readonly cluster: LocalCluster,
@@ -51,14 +52,11 @@
     this.workers = platform.workers;
   }
 
-  private readonly workers: Platform['workers'];
-
   /** Plays the scenario; ends by itself when it is over. */
   async run(name: string, options: ScaleRunOptions): Promise<ScaleReport> {
     const { clock } = this.cluster;
     const http = new HttpClient(clock, { maxSockets: 200, bodyBytes: 64 * 1024 });
-    const excluded = () => this.excluded();
-    const propagation = new Propagation(clock, http, this.cluster, excluded);
+    const propagation = new Propagation(clock, http, this.cluster, () => this.excluded());
     this.measurement.start();
     const first = Math.min(...this.scenario.phases.map((p) => p.from_s), this.scenario.duration_s);
     clock.after(first * 1000, () => void propagation.run(options.changeEvery));
