Review case 4: a repeated run makes a task run twice

Its scripts use the stand-ins that review/build-2.sh builds, and begin again when another program has taken a port.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,100 +1,82 @@
-// All controllers crash once, while many jobs wait for some jobs that are done and for one that still runs. The users
-// poll every 5 s, as the pages say. The rule: once all troubles are over, no accepted job goes without an answer for
-// 75 s.
+// A `run` that was carried out is repeated by the network some seconds later, after its task was stopped, cleared and
+// started on another machine.
 
-import { Cluster, endOnSignals, job, Record, seconds, site, sleep, User } from '../common-2/cluster.mjs';
+import { dirname } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { Deployment, job, pause, runCase } from '../harness-2/harness.mjs';
 
-const TROUBLE = process.env.TROUBLE !== '0';
-const STAGES = Number(process.env.STAGES ?? 110);
-const WAITING = Number(process.env.WAITING ?? 260);
-const OTHERS = Number(process.env.OTHERS ?? 20);
-const POLL_S = 5;
-const RULE_S = Number(process.env.RULE_S ?? 75);
+const trouble = process.env.TROUBLE !== '0';
+const LOW = 'wk-000001';
+const URGENT = 'wk-000002';
+const FIRST = 'wk-000003';
+/** Latest repetition after the original, in seconds: direct commands may be 2 to 16 s late. */
+const MAX_LATE_S = 16;
 
-const record = new Record(import.meta.url);
-const cluster = new Cluster(site(), record);
-endOnSignals(cluster, record);
-const names = (letter, count) => Array.from({ length: count }, (_, i) => `wk-${letter}${String(i).padStart(5, '0')}`);
-const stages = names('s', STAGES);
-const waiting = names('w', WAITING);
-const others = names('o', OTHERS);
-/** Times of the polls of each job that were answered with 200 or 404, and of those that were not. */
-const polls = new Map();
-let polling = true;
-let verdict = 2;
+let original = null;
+const deployment = new Deployment({
+  caseFolder: dirname(fileURLToPath(import.meta.url)),
+  teams: [{ name: 'school-canteens', cpus: 40, cpusMax: 400 }],
+  types: {
+    'khachapuri-small': { cpus: 8, memoryGb: 16, price: 0.43, bootS: 50 },
+    'pkhali-mid': { cpus: 32, memoryGb: 128, price: 1.91, bootS: 40 },
+  },
+  machines: [{ type: 'khachapuri-small' }, { type: 'pkhali-mid' }],
+  onCommand: (machine, body, deliver) => {
+    if (!original && body.orders.some((o) => o.verb === 'run' && o.piece === `${LOW}/0`))
+      original = { machine, body, at: Date.now(), deliver };
+    return deliver();
+  },
+});
 
-/** Polls a job about every 5 s until it is over, from its acceptance on. */
-async function follow(id) {
-  const user = new User(cluster);
-  polls.set(id, { answered: [seconds()], failed: [] });
-  await sleep(Math.random() * POLL_S * 1000);
-  while (polling) {
-    const { status, told } = await user.poll(id);
-    polls.get(id)[status === 200 || status === 404 ? 'answered' : 'failed'].push(seconds());
-    if (told === 'done' || told === 'aborted') return;
-    await sleep(POLL_S * 1000 * (0.9 + 0.2 * Math.random()));
+await runCase(deployment, async (d) => {
+  const on = () => {
+    const places = new Map();
+    for (const e of d.tasks.history)
+      if (e.job === LOW) e.kind === 'on' ? places.set(e.machine, e.attempt) : places.delete(e.machine);
+    return places;
+  };
+  const isOn = (id, machine) => {
+    let result = false;
+    for (const e of d.tasks.history) if (e.job === id && e.machine === machine) result = e.kind === 'on';
+    return result;
+  };
+  const [small, mid] = [...d.machines.keys()];
+  // Ordinary work fills the larger machine for a while, so that the low one starts on the smaller.
+  await pause(8000);
+  await d.submit(job(FIRST, { cpus: 32, memoryGb: 100, flavors: ['pkhali-mid'], expectedS: 6 }), 6);
+  await d.until(20, 'the first job runs', () => isOn(FIRST, mid));
+  await d.submit(job(LOW, { urgency: 'low', cpus: 8, memoryGb: 16, flavors: ['khachapuri-small', 'pkhali-mid'], expectedS: 60 }), 60);
+  await d.until(20, 'the low job runs on the smaller machine', () => isOn(LOW, small));
+  // Urgent work takes the smaller machine; the low job goes on on the larger one when that is free.
+  await pause(3000);
+  await d.submit(job(URGENT, { urgency: 'urgent', cpus: 8, memoryGb: 16, flavors: ['khachapuri-small'], expectedS: 6 }), 6);
+  await d.until(20, 'the urgent job runs', () => isOn(URGENT, small));
+  await d.until(30, 'the low job runs on the larger machine', () => isOn(LOW, mid));
+  await d.until(20, 'the urgent job has ended', () => !isOn(URGENT, small));
+  const lateS = (Date.now() - original.at) / 1000;
+  if (lateS > MAX_LATE_S) throw new Error(`the repetition would be ${lateS.toFixed(1)} s late`);
+  if (trouble) {
+    d.note(`network: repeats to ${original.machine.id}, ${lateS.toFixed(2)} s late: ${JSON.stringify(original.body)}`);
+    const answer = original.deliver();
+    d.note(`worker ${original.machine.id} answers ${answer.status}`);
   }
-}
-
-/** Submits jobs, thirty at a time, and follows those that do not end at once. */
-async function submit(ids, make, runS) {
-  const queue = [...ids];
-  await Promise.all(
-    Array.from({ length: 30 }, async () => {
-      const user = new User(cluster);
-      for (let id = queue.shift(); id; id = queue.shift()) {
-        const status = await user.submit(make(id), runS);
-        if (status !== 201 && status !== 200) throw new Error(`${id} was not accepted: ${status}`);
-        if (!stages.includes(id)) void follow(id);
-      }
-    }),
-  );
-}
-
-const isAnswered = (id, from, to) => polls.get(id).answered.some((t) => t > from && t <= to);
-const failures = (id, from, to) => polls.get(id).failed.filter((t) => t > from && t <= to).length;
-
-/** Returns the jobs whose polls have all failed from `from` to `to`. */
-const forgotten = (from, to) =>
-  [...polls.keys()].filter((id) => !isAnswered(id, from, to) && failures(id, from, to) >= 10);
-
-try {
-  await cluster.start();
-  record.say('controllers are healthy');
-  await submit(['wk-long'], (id) => job(id, { expectedS: 200 }), 300);
-  await submit(stages, (id) => job(id), 0.5);
-  record.say(`${STAGES} jobs of the first stage accepted`);
-  await submit(others, (id) => job(id, { expectedS: 200 }), 300);
-  await submit(waiting, (id) => job(id, { waitsOn: ['wk-long', ...stages] }), 2);
-  record.say(`${WAITING} jobs that wait for them accepted, and ${OTHERS} others`);
-  const user = new User(cluster);
-  for (const id of stages) while ((await user.poll(id)).told !== 'done') await sleep(200);
-  record.say('first stage done');
-  await sleep(2000);
-  if (TROUBLE) {
-    record.say('trouble: all controllers are killed');
-    for (const c of cluster.controllers) c.process.kill('SIGKILL');
-    while (cluster.controllers.some((c) => c.starts < 2)) await sleep(50);
-    await cluster.allHealthy();
-  }
-  record.say(TROUBLE ? 'the trouble is over: all controllers are healthy again' : 'no trouble');
-  const from = seconds();
-  while (seconds() < from + RULE_S) {
-    await sleep(Math.min(10_000, (from + RULE_S - seconds()) * 1000 + 1));
-    const now = seconds();
-    const quiet = (ids) => ids.filter((id) => !isAnswered(id, now - 15, now)).length;
-    record.say(`without an answer for 15 s: ${quiet(waiting)} that wait, ${quiet(others)} others`);
+  // The rule: while a task is on one machine, it starts on another.
+  const places = new Set();
+  const check = () => {
+    places.clear();
+    for (const e of d.tasks.history) {
+      if (e.job !== LOW) continue;
+      if (e.kind === 'off') places.delete(e.machine);
+      else if ([...places].some((m) => m !== e.machine)) return `ran_twice: ${LOW}/0 starts on ${e.machine} while on ${[...places]}`;
+      else places.add(e.machine);
+    }
+    return null;
+  };
+  for (let i = 0; i < 40; i++) {
+    if (check()) break;
+    await pause(250);
   }
-  const lost = forgotten(from, seconds());
-  if (lost.length > 0)
-    record.say(`forgotten: all polls for ${lost.length} accepted jobs failed for ${RULE_S} s, for example ${lost[0]}`);
-  else record.say('the rule held');
-  verdict = lost.length > 0 ? 1 : 0;
-} catch (error) {
-  record.say('could not run:', error.stack);
-} finally {
-  polling = false;
-  await cluster.stop();
-  record.write();
-}
-process.exit(verdict);
+  await pause(3000);
+  d.note(`at the end ${LOW}/0 is on ${[...on().keys()]}`);
+  return check();
+});
--- a/review/harness-2/harness.mjs
+++ b/review/harness-2/harness.mjs
@@ -10,7 +10,8 @@
 import { fileURLToPath } from 'node:url';
 
 const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
-const load = (path) => import(join(root, 'target', path));
+/** The project's own stand-ins, as `review/build-2.sh` builds them, apart from the controllers' build. */
+const load = (path) => import(join(root, 'target', 'review-2', path));
 const { systemClock } = await load('clock/clock.js');
 const { HttpClient } = await load('http/client.js');
 const { Random } = await load('emulator/random.js');
@@ -23,18 +24,21 @@
 const HOST = '127.0.0.1';
 export const pause = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** Returns `count` ports that were free a moment ago. */
+/** Returns `count` ports that are free now, below the range from which outgoing connections take theirs. */
 async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () => new Promise((resolve, reject) => {
-      const server = net.createServer();
-      server.once('error', reject);
-      server.listen(0, HOST, () => resolve(server));
-    })),
-  );
-  const ports = servers.map((s) => s.address().port);
-  await Promise.all(servers.map((s) => new Promise((resolve) => s.close(resolve))));
-  return ports;
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = 11_000 + Math.floor(Math.random() * 20_000);
+    const server = net.createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, HOST, () => resolve(true));
+    });
+    if (!isFree) continue;
+    ports.add(port);
+    await new Promise((resolve) => server.close(resolve));
+  }
+  return [...ports];
 }
 
 /** Serves JSON requests with `handle(method, path, body)`, which returns `{ status, body }` or a promise of it. */
@@ -93,7 +97,9 @@
    * `teams`: `{ name, cpus, cpusMax }`; `types`: machine types by name; `machines`: their types; `stateNext`: lines of
    * `params.state.next`; direct commands to workers pass `onCommand(machine, body, deliver)`, if given.
    */
-  constructor({ caseFolder, teams, types, machines, nodes = 3, zone = 'tbilisi-east', reportS = 3, stateNext = null, onCommand = null }) {
+  constructor(options) {
+    const { caseFolder, teams, types, machines, nodes = 3, zone = 'tbilisi-east', reportS = 3, stateNext = null, onCommand = null } = options;
+    this.options = options;
     Object.assign(this, { teams, types, machineSpecs: machines, nodes, zone, reportS, stateNext, onCommand });
     this.record = join(caseFolder, 'record.txt');
     writeFileSync(this.record, '');
@@ -108,8 +114,6 @@
     this.tasks = new Tasks(systemClock, new Random(1), machineTypes, { gangWaitS: 40, gangPeerS: 5 });
     this.tasks.onEvent = (e) =>
       this.note(`worker ${e.machine}: ${e.job}/${e.index} try ${e.attempt} ${e.kind === 'on' ? 'on the machine' : `off the machine (${e.cause})`}`);
-    process.on('SIGTERM', () => void this.stop().finally(() => process.exit(2)));
-    process.on('SIGINT', () => void this.stop().finally(() => process.exit(2)));
   }
 
   /** Seconds since the start. */
@@ -136,6 +140,7 @@
     }
     for (const c of this.controllers) this.startController(c);
     await this.until(30, 'all controllers healthy', async () => {
+      if (this.controllers.some((c) => c.process.exitCode !== null)) throw new Error('a controller ended, maybe since another program has taken its port');
       const answers = await Promise.all(this.controllers.map((c) => ask(c.port, 'GET', '/healthz', null, 1000)));
       return answers.every((a) => a.status === 200);
     });
@@ -279,10 +284,25 @@
 }
 
 /** Runs a case: exits with 1 if it returns a broken rule, 0 if it returns null, 2 if it could not run. */
-export async function runCase(deployment, play) {
+export async function runCase(first, play) {
   let code = 2;
+  let deployment = first;
+  const giveUp = (why) => {
+    deployment.note(`could not run: ${why}`);
+    void deployment.stop().finally(() => process.exit(2));
+  };
+  process.on('uncaughtException', (error) => giveUp(error.stack));
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => giveUp(signal));
   try {
-    await deployment.start();
+    try {
+      await deployment.start();
+    } catch (error) {
+      // Another program may have taken a port between the choice of the ports and their use.
+      console.log(`begins again: ${error.message}`);
+      await deployment.stop();
+      deployment = new Deployment(first.options);
+      await deployment.start();
+    }
     const broken = await play(deployment);
     deployment.note(broken ? `BROKEN ${broken}` : 'the rule held');
     console.log(broken ? `broken: ${broken}` : 'the rule held');
