One class for the transactions of a shard's owner

Cause: job records, machine records and the standby's key each built the condition on the owner's term by themselves, and looked for the owner's key among the failed ones. JobRecords takes it in place of store, shard and term. No change of behaviour.

--- a/src/autoscaler/machinerecords.ts
+++ b/src/autoscaler/machinerecords.ts
@@ -3,7 +3,6 @@
 import { KEYS, type MachineRecord, readMachineRecord } from '../schema/schema.js';
 import { StateStoreError } from '../state/statestore.js';
 import type { Rental } from '../wire/cloud.js';
-import type { Condition } from '../wire/state.js';
 import type { Machine } from '../workers/machine.js';
 import type { AutoscalerOptions } from './options.js';
 
@@ -16,27 +15,23 @@
 
 /** The records of one shard's machines (`c/m/ID`), written on the condition that the owner's key is at its term. */
 export class MachineRecords {
-  private readonly ownerCondition: Condition;
-
-  constructor(private readonly options: AutoscalerOptions) {
-    this.ownerCondition = { key: KEYS.owner(options.shard), version: options.term };
-  }
+  constructor(private readonly options: AutoscalerOptions) {}
 
   /**
    * Writes a machine's record; returns its new version. Throws `StateStoreError` if the write failed or its outcome
    * is unknown.
    */
   async write(machine: Machine, change: Partial<MachineRecord> = {}): Promise<number> {
-    const { context, hooks, shard } = this.options;
+    const { context, transactions, hooks, shard } = this.options;
     const key = KEYS.machine(machine.id);
     const value = this.recordOf(machine, change);
     try {
-      const result = await context.store.compareAndSwap(
-        [this.ownerCondition, { key, version: machine.version }],
+      const result = await transactions.compareAndSwap(
+        [{ key, version: machine.version }],
         [{ put: key, value }],
       );
       if (result.ok) return result.revision;
-      if (result.failed.includes(this.ownerCondition.key)) throw hooks.onOwnershipLost();
+      if (result.ownershipLost) throw hooks.onOwnershipLost();
     } catch (error) {
       if (!(error instanceof StateStoreError) || !error.mayHaveApplied) throw error;
     }
@@ -144,10 +139,10 @@
 
   /** Makes one attempt to record machines that have no record; returns those not known to have one afterwards. */
   private async tryRecordRented(ids: string[], value: MachineRecord): Promise<string[]> {
-    const { context, hooks, log } = this.options;
+    const { context, transactions, hooks, log } = this.options;
     try {
-      const result = await context.store.compareAndSwap(
-        [this.ownerCondition, ...ids.map((id) => ({ key: KEYS.machine(id), version: 0 }))],
+      const result = await transactions.compareAndSwap(
+        ids.map((id) => ({ key: KEYS.machine(id), version: 0 })),
         ids.map((id) => ({ put: KEYS.machine(id), value })),
       );
       if (result.ok) {
@@ -155,7 +150,7 @@
           hooks.onRecorded(id, { key: KEYS.machine(id), value: { ...value }, version: result.revision });
         return [];
       }
-      if (result.failed.includes(this.ownerCondition.key)) {
+      if (result.ownershipLost) {
         hooks.onOwnershipLost();
         return [];
       }
@@ -174,11 +169,8 @@
    */
   private async tryMarkInOneTransaction(machines: readonly Machine[]): Promise<number | null> {
     try {
-      const result = await this.options.context.store.compareAndSwap(
-        [
-          this.ownerCondition,
-          ...machines.map((machine) => ({ key: KEYS.machine(machine.id), version: machine.version })),
-        ],
+      const result = await this.options.transactions.compareAndSwap(
+        machines.map((machine) => ({ key: KEYS.machine(machine.id), version: machine.version })),
         machines.map((machine) => ({
           put: KEYS.machine(machine.id),
           value: this.recordOf(machine, { state: 'leaving' }),
@@ -192,11 +184,8 @@
 
   private async tryDeleteInOneTransaction(machines: readonly Machine[]): Promise<boolean> {
     try {
-      const result = await this.options.context.store.compareAndSwap(
-        [
-          this.ownerCondition,
-          ...machines.map((machine) => ({ key: KEYS.machine(machine.id), version: machine.version })),
-        ],
+      const result = await this.options.transactions.compareAndSwap(
+        machines.map((machine) => ({ key: KEYS.machine(machine.id), version: machine.version })),
         machines.map((machine) => ({ delete: KEYS.machine(machine.id) })),
       );
       return result.ok;
--- a/src/autoscaler/options.ts
+++ b/src/autoscaler/options.ts
@@ -1,6 +1,7 @@
 import type { Log } from '../config/log.js';
 import type { ControllerContext } from '../context/context.js';
 import type { Amounts } from '../plan/capacityprofile.js';
+import type { OwnerTransactions } from '../schema/schema.js';
 import type { Entry } from '../wire/state.js';
 import type { Machine } from '../workers/machine.js';
 import type { MachineRegistry } from '../workers/machineregistry.js';
@@ -28,8 +29,7 @@
 export interface AutoscalerOptions {
   readonly context: ControllerContext;
   readonly shard: number;
-  /** The owner's term: the revision of its key. */
-  readonly term: number;
+  readonly transactions: OwnerTransactions;
   readonly registry: MachineRegistry;
   readonly log: Log;
   readonly hooks: AutoscalerHooks;
--- a/src/controller/ownerlessadmission.ts
+++ b/src/controller/ownerlessadmission.ts
@@ -3,7 +3,7 @@
 import { JobRecords } from '../jobs/records.js';
 import { defaultDeadlineS } from '../scheduler/admission.js';
 import type { SubmitResponse } from '../scheduler/responses.js';
-import { KEYS } from '../schema/schema.js';
+import { KEYS, OwnerTransactions } from '../schema/schema.js';
 import { StateStoreError } from '../state/statestore.js';
 import type { JobSpec } from '../wire/users.js';
 import type { Membership } from './membership.js';
@@ -78,7 +78,8 @@
     const { store, settings, clock } = this.context;
     const seenTerm = this.members.stateCache.entries.get(KEYS.owner(shard))?.version ?? 0;
     const limits = { ...settings.stateLimits, layoutKb: settings.layoutKb };
-    const records = new JobRecords(store, shard, seenTerm, limits, this.allSupportProtocolVersion);
+    const transactions = new OwnerTransactions(store, shard, seenTerm);
+    const records = new JobRecords(transactions, limits, this.allSupportProtocolVersion);
     const wall = clock.wall();
     const deadline = Math.round(wall + defaultDeadlineS(this.context, null, spec.estimateS) * 1000);
     try {
--- a/src/jobs/completionchunks.ts
+++ b/src/jobs/completionchunks.ts
@@ -138,7 +138,7 @@
 
   private async refreshVersions(job: Job, chunks: readonly string[]): Promise<void> {
     for (const chunk of chunks) {
-      const stored = await this.options.store.get(KEYS.completionChunk(job.spec.id, chunk));
+      const stored = await this.options.transactions.store.get(KEYS.completionChunk(job.spec.id, chunk));
       if (stored) job.chunkVersions.set(chunk, stored.version);
     }
   }
--- a/src/jobs/jobacceptance.ts
+++ b/src/jobs/jobacceptance.ts
@@ -55,7 +55,7 @@
       // A write without a response may or may not have been applied; only reading it back decides.
       if (!(error instanceof StateStoreError) || !error.mayHaveApplied) throw error;
     }
-    const { store } = this.options;
+    const { store } = this.options.transactions;
     const stored = await store.get(key);
     if (stored && readActive(stored.value)?.tag === tag)
       return { kind: 'accepted', version: stored.version, partsPrefix };
@@ -67,7 +67,8 @@
 
   /** Returns the value to store; stores the description separately if it is too long for the value. */
   private async prepare(record: JobRecord, tag: string): Promise<AcceptanceValue> {
-    const { shard, limits, allSupportProtocolVersion } = this.options;
+    const { transactions, limits, allSupportProtocolVersion } = this.options;
+    const { shard } = transactions;
     const { id } = record.spec;
     const whole = { ...record, shard, tag };
     if (jsonBytes(whole) > maxValueBytes(limits.valueKb)) {
--- a/src/jobs/jobend.ts
+++ b/src/jobs/jobend.ts
@@ -19,7 +19,7 @@
    * the write failed or its result is unknown.
    */
   async finish(job: Job, final: FinalState): Promise<FinalState> {
-    const { store, limits } = this.options;
+    const { transactions, limits } = this.options;
     const id = job.spec.id;
     const writes = this.endWrites(job, final);
     const sentBefore = job.endWriteSent;
@@ -41,7 +41,7 @@
         throw error;
       }
     }
-    const stored = await store.get(KEYS.job(id));
+    const stored = await transactions.store.get(KEYS.job(id));
     const entry = stored && readJobEntry(stored.value);
     if (!entry?.final) throw new StateStoreError(`end of ${id} is not decided`, true);
     this.deleteRemaining(job, writes);
@@ -54,7 +54,7 @@
    */
   private endWrites(job: Job, final: FinalState): Write[] {
     const id = job.spec.id;
-    const entry: JobEntry = { shard: this.options.shard, final, tasks: job.spec.tasks };
+    const entry: JobEntry = { shard: this.options.transactions.shard, final, tasks: job.spec.tasks };
     const deletions = [...job.chunkVersions.keys()].map((chunk) => ({
       delete: KEYS.completionChunk(id, chunk),
     }));
--- a/src/jobs/ownerwrites.ts
+++ b/src/jobs/ownerwrites.ts
@@ -1,6 +1,6 @@
 import { NotOwnerError } from '../errors/errors.js';
-import { KEYS } from '../schema/schema.js';
-import { type CompareAndSwapResult, type StateStore, StateStoreError } from '../state/statestore.js';
+import type { OwnerTransactionResult, OwnerTransactions } from '../schema/schema.js';
+import { StateStoreError } from '../state/statestore.js';
 import type { Condition, Write } from '../wire/state.js';
 
 /** Limits of the key-value store on values and transactions. */
@@ -15,10 +15,7 @@
 
 /** Dependencies of `OwnerWrites`. */
 export interface OwnerWritesOptions {
-  readonly store: StateStore;
-  readonly shard: number;
-  /** Revision of the shard's owner key that the writes are conditional on. */
-  readonly term: number;
+  readonly transactions: OwnerTransactions;
   readonly limits: RecordLimits;
   /** Whether all nodes can read formats that the first version did not support. */
   readonly allSupportProtocolVersion: () => boolean;
@@ -26,24 +23,17 @@
   readonly onChanged: () => void;
 }
 
-/**
- * Writes job records of one shard. Each write is conditional on the shard's owner key having this term, so a
- * write that the network delivers late cannot overwrite what a newer owner wrote.
- */
+/** Writes job records of one shard, on the condition that its owner still has its term. */
 export class OwnerWrites {
-  private readonly ownerCondition: Condition;
-
-  constructor(private readonly options: OwnerWritesOptions) {
-    this.ownerCondition = { key: KEYS.owner(options.shard), version: options.term };
-  }
+  constructor(private readonly options: OwnerWritesOptions) {}
 
   /**
    * Executes all writes in one transaction, conditional on the owner's term and `conditions`. Throws `NotOwnerError`
    * once another node owns the shard.
    */
-  async write(conditions: Condition[], writes: Write[]): Promise<CompareAndSwapResult> {
-    const result = await this.options.store.compareAndSwap([this.ownerCondition, ...conditions], writes);
-    if (!result.ok && result.failed.includes(this.ownerCondition.key)) throw new NotOwnerError();
+  async write(conditions: readonly Condition[], writes: Write[]): Promise<OwnerTransactionResult> {
+    const result = await this.options.transactions.compareAndSwap(conditions, writes);
+    if (!result.ok && result.ownershipLost) throw new NotOwnerError();
     if (result.ok) this.options.onChanged();
     return result;
   }
@@ -53,11 +43,11 @@
    * read.
    */
   async deleteUnconditionally(deletions: readonly Write[]): Promise<void> {
-    const { store, limits } = this.options;
+    const { transactions, limits } = this.options;
     const perTransaction = Math.max(1, limits.txnOps);
     try {
       for (let i = 0; i < deletions.length; i += perTransaction)
-        await store.compareAndSwap([], deletions.slice(i, i + perTransaction));
+        await transactions.store.compareAndSwap([], deletions.slice(i, i + perTransaction));
     } catch (error) {
       if (!(error instanceof StateStoreError)) throw error;
     }
@@ -66,7 +56,7 @@
   /** Deletes all parts of a description. */
   async deleteParts(prefix: string): Promise<void> {
     try {
-      const { entries } = await this.options.store.list(prefix);
+      const { entries } = await this.options.transactions.store.list(prefix);
       await this.deleteUnconditionally(entries.map((e) => ({ delete: e.key })));
     } catch (error) {
       if (!(error instanceof StateStoreError)) throw error;
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -1,5 +1,4 @@
-import { KEYS } from '../schema/schema.js';
-import type { StateStore } from '../state/statestore.js';
+import { KEYS, type OwnerTransactions } from '../schema/schema.js';
 import { CompletionChunks } from './completionchunks.js';
 import type { FinalState, Job, JobEntry, JobRecord } from './job.js';
 import { type AcceptResult, JobAcceptance } from './jobacceptance.js';
@@ -20,10 +19,9 @@
 } from './storedjob.js';
 
 /**
- * Job records of one shard in the key-value store. Every write is conditional on the shard's owner key having
- * this term, so a write that the network delivers late cannot overwrite what a newer owner wrote. It is also
- * conditional on the version it was derived from, so a late write cannot overwrite a later change by this
- * owner.
+ * Job records of one shard in the key-value store. Every write is conditional on the owner's term, so a write that
+ * the network delivers late cannot overwrite what a newer owner wrote. It is also conditional on the version it was
+ * derived from, so a late write cannot overwrite a later change by this owner.
  */
 export class JobRecords {
   private readonly acceptance: JobAcceptance;
@@ -31,9 +29,7 @@
   private readonly end: JobEnd;
 
   constructor(
-    private readonly store: StateStore,
-    private readonly shard: number,
-    term: number,
+    private readonly transactions: OwnerTransactions,
     limits: RecordLimits,
     /** Whether all nodes can read formats that the first version did not support. */
     allSupportProtocolVersion: () => boolean,
@@ -41,9 +37,7 @@
     onChanged: () => void = () => undefined,
   ) {
     const options: OwnerWritesOptions = {
-      store,
-      shard,
-      term,
+      transactions,
       limits,
       allSupportProtocolVersion,
       onChanged,
@@ -56,7 +50,7 @@
 
   /** Returns the entry of a job that any shard has accepted, or null if there is none. */
   entry(id: string): Promise<JobEntry | null> {
-    return findJob((key) => this.store.get(key), id);
+    return findJob((key) => this.transactions.store.get(key), id);
   }
 
   /** Stores an accepted job (`JobAcceptance.accept`). */
@@ -86,7 +80,7 @@
 
   /** Loads all unfinished jobs of the shard with their done tasks from the key-value store. */
   load(prefix = KEYS.active): Promise<LoadedJob[]> {
-    return loadJobs(this.store, this.shard, prefix);
+    return loadJobs(this.transactions.store, this.transactions.shard, prefix);
   }
 
   /** Loads one unfinished job; returns null if it is not stored. */
--- a/src/scheduler/shardcomponents.ts
+++ b/src/scheduler/shardcomponents.ts
@@ -1,6 +1,7 @@
 import { Autoscaler } from '../autoscaler/autoscaler.js';
 import type { Log } from '../config/log.js';
 import { JobRecords } from '../jobs/records.js';
+import { OwnerTransactions } from '../schema/schema.js';
 import type { Machine } from '../workers/machine.js';
 import { MachineRegistry } from '../workers/machineregistry.js';
 import { Admission } from './admission.js';
@@ -57,6 +58,7 @@
   /** Source of the records replicated to the standby; null without a standby. */
   readonly replicationSource: ShardReplicationSource | null;
   readonly statusLog: ShardStatusLog;
+  private readonly transactions: OwnerTransactions;
 
   constructor(
     private readonly options: ShardOptions,
@@ -66,6 +68,7 @@
     claimedAt: number,
   ) {
     const { context, index, term, takeover } = options;
+    this.transactions = new OwnerTransactions(context.store, index, term);
     this.jobTable = new JobTable(context, index, term);
     const { jobs } = this.jobTable;
     this.records = this.createRecords();
@@ -109,12 +112,10 @@
   }
 
   private createRecords(): JobRecords {
-    const { context, index, term, peers, replicator } = this.options;
+    const { context, peers, replicator } = this.options;
     const { stateLimits, layoutKb } = context.settings;
     return new JobRecords(
-      context.store,
-      index,
-      term,
+      this.transactions,
       { ...stateLimits, layoutKb },
       () => peers.allSupportProtocolVersion(),
       () => replicator?.recordsChanged(),
@@ -212,11 +213,11 @@
   }
 
   private createAutoscaler(): Autoscaler {
-    const { context, index, term } = this.options;
+    const { context, index } = this.options;
     return new Autoscaler({
       context,
       shard: index,
-      term,
+      transactions: this.transactions,
       registry: this.registry,
       log: this.log,
       hooks: {
--- a/src/standby/standbynaming.ts
+++ b/src/standby/standbynaming.ts
@@ -1,7 +1,13 @@
 import type { ControllerContext } from '../context/context.js';
-import { KEYS, type LeaseHolder, readStandbyRecord, writeStandbyRecord } from '../schema/schema.js';
+import {
+  KEYS,
+  type LeaseHolder,
+  type OwnerTransactionResult,
+  OwnerTransactions,
+  readStandbyRecord,
+  writeStandbyRecord,
+} from '../schema/schema.js';
 import { StateStoreError } from '../state/statestore.js';
-import type { Condition } from '../wire/state.js';
 
 /** Dependencies of `StandbyNaming`. */
 export interface StandbyNamingOptions {
@@ -20,11 +26,11 @@
 export class StandbyNaming {
   private namedCount = 0;
   private readonly key: string;
-  private readonly ownerCondition: Condition;
+  private readonly transactions: OwnerTransactions;
 
   constructor(private readonly options: StandbyNamingOptions) {
     this.key = KEYS.standby(options.shard);
-    this.ownerCondition = { key: KEYS.owner(options.shard), version: options.term };
+    this.transactions = new OwnerTransactions(options.context.store, options.shard, options.term);
   }
 
   /**
@@ -44,13 +50,11 @@
     const before = (await store.get(this.key))?.version ?? 0;
     const write = { put: this.key, value, lease: leaseId };
     try {
-      const result = await store.compareAndSwap(
-        [this.ownerCondition, { key: this.key, version: before }],
-        [write],
-        { urgent: true },
-      );
+      const result = await this.transactions.compareAndSwap([{ key: this.key, version: before }], [write], {
+        urgent: true,
+      });
       if (result.ok) return result.revision;
-      this.reportIfLost(result.failed);
+      this.reportIfLost(result);
       return null;
     } catch (error) {
       if (!(error instanceof StateStoreError) || !error.mayHaveApplied) throw error;
@@ -67,30 +71,29 @@
    * is not known. Throws `StateStoreError` if the key-value store does not answer.
    */
   async remove(revision: number): Promise<boolean> {
-    const { store } = this.options.context;
     const named = { key: this.key, version: revision };
     try {
-      const result = await store.compareAndSwap([this.ownerCondition, named], [{ delete: this.key }], {
+      const result = await this.transactions.compareAndSwap([named], [{ delete: this.key }], {
         urgent: true,
       });
       if (result.ok) return true;
-      if (this.reportIfLost(result.failed)) return false;
+      if (this.reportIfLost(result)) return false;
     } catch (error) {
       if (!(error instanceof StateStoreError) || !error.mayHaveApplied) throw error;
     }
     // An earlier attempt may have been applied late. The check is therefore that the key is deleted while the
     // owner still has its term.
-    const result = await store.compareAndSwap([this.ownerCondition, { key: this.key, version: 0 }], [], {
+    const result = await this.transactions.compareAndSwap([{ key: this.key, version: 0 }], [], {
       urgent: true,
     });
-    if (!result.ok) this.reportIfLost(result.failed);
+    this.reportIfLost(result);
     return result.ok;
   }
 
-  /** Returns whether the owner's key is among the failed conditions, and reports the shard as lost if so. */
-  private reportIfLost(failedKeys: readonly string[]): boolean {
-    const lost = failedKeys.includes(this.ownerCondition.key);
-    if (lost) this.options.onShardLost();
-    return lost;
+  /** Returns whether a transaction failed because another node owns the shard, and reports the loss if so. */
+  private reportIfLost(result: OwnerTransactionResult): boolean {
+    if (result.ok || !result.ownershipLost) return false;
+    this.options.onShardLost();
+    return true;
   }
 }
--- a/tests/schema/versions.test.ts
+++ b/tests/schema/versions.test.ts
@@ -5,7 +5,12 @@
 import { makeJob } from '../../src/jobs/job.js';
 import { JobRecords } from '../../src/jobs/records.js';
 import { TaskSet, tasksPerChunk } from '../../src/jobs/taskset.js';
-import { readLeaseHolder, readTeamAssignment, writeLeaseHolder } from '../../src/schema/schema.js';
+import {
+  OwnerTransactions,
+  readLeaseHolder,
+  readTeamAssignment,
+  writeLeaseHolder,
+} from '../../src/schema/schema.js';
 import { StateStore } from '../../src/state/statestore.js';
 import { readJob } from '../../src/wire/users.js';
 import { FakeClock } from '../support/clock.js';
@@ -75,7 +80,7 @@
   const first = await settle(store.compareAndSwap([], [{ put: OWNER, value: {} }]));
   assert.ok(first.ok);
   const owner = (limits: { valueKb: number; txnOps: number; layoutKb: number }) =>
-    new JobRecords(store, 0, first.revision, limits, () => allRead.value);
+    new JobRecords(new OwnerTransactions(store, 0, first.revision), limits, () => allRead.value);
   return { state, store, settle, owner };
 }
 
--- a/tests/support/produced.ts
+++ b/tests/support/produced.ts
@@ -19,7 +19,7 @@
 import { encodeFrame } from '../../src/peer/frames.js';
 import type { Mesh } from '../../src/peer/mesh.js';
 import { NOT_READY } from '../../src/scheduler/responses.js';
-import { KEYS } from '../../src/schema/schema.js';
+import { KEYS, OwnerTransactions } from '../../src/schema/schema.js';
 import { writeReplicationMessage } from '../../src/standby/messages.js';
 import { type ReplicationRecord, writeReplicationRecord } from '../../src/standby/replicationrecord.js';
 import { ReplicationStream } from '../../src/standby/replicationstream.js';
@@ -203,7 +203,7 @@
   const owned = await store.compareAndSwap([], [{ put: KEYS.owner(2), value: OWNER }]);
   const term = owned.ok ? owned.revision : 0;
   const times = { accepted: 1_700_000_000_000, deadline: 1_700_000_900_000 };
-  const records = (all: boolean) => new JobRecords(store, 2, term, LIMITS, () => all);
+  const records = (all: boolean) => new JobRecords(new OwnerTransactions(store, 2, term), LIMITS, () => all);
   const waitsOn = Array.from({ length: 200 }, (_, i) => `wk-needed-${i}`);
   for (const [id, change, all] of [
     ['wk-whole', {}, true],
