--- a/src/modelcheck/standbylease.ts
+++ b/src/modelcheck/standbylease.ts
@@ -223,7 +223,13 @@
   /** Delivers a heartbeat to the standby that has become the owner; the heartbeat may be delivered again later. */
   function onReport(old: State, report: State['reports'][number]): State | null {
     if (old.shardOwner !== 'standby') return null;
-    const known = { incarnation: 1, minIncarnation: 0, heartbeatSequence: old.latestReport, fencingToken: 2 };
+    const known = {
+      incarnation: 1,
+      minIncarnation: 0,
+      heartbeatSequence: old.latestReport,
+      fencingToken: 2,
+      minFencingToken: 2,
+    };
     const classification = rules.classifyHeartbeat(known, {
       incarnation: 1,
       sequence: report.seq,
--- a/src/scheduler/machinerecords.ts
+++ b/src/scheduler/machinerecords.ts
@@ -70,6 +70,7 @@
       decommissioning: record.state === 'leaving',
       version,
       fencingToken: Math.max(term, version),
+      minFencingToken: Math.max(term, version),
       incarnation: 0,
       heartbeatSequence: -1,
       minIncarnation: 0,
@@ -135,6 +136,7 @@
   machine.decommissioning = record.state === 'leaving';
   if (version > machine.fencingToken) {
     machine.fencingToken = version;
+    machine.minFencingToken = version;
     machine.reconciled = false;
   }
 }
--- a/src/scheduler/shardcomponents.ts
+++ b/src/scheduler/shardcomponents.ts
@@ -126,7 +126,9 @@
     const { context, replicator } = this.options;
     return new MachineRegistry(context.clock, context.http, context.settings.workers, this.log, {
       holdsShard: () => this.lifecycle.mayAct(),
-      renewFencingToken: (m) => this.autoscaler.writeRecord(m),
+      ownedRevision: () => this.transactions.ownedRevision,
+      writeRecord: (m) => this.autoscaler.writeRecord(m),
+      isChangingShard: (m) => this.autoscaler.movingMachines.has(m.id),
       onAttemptFound: (h) => this.taskProgress.onAttemptFound(h),
       onAttemptChanged: (h) => this.taskProgress.onAttemptChanged(h),
       onAttemptGone: (h, why) => this.taskProgress.onAttemptGone(h, why),
--- a/src/schema/ownertransactions.ts
+++ b/src/schema/ownertransactions.ts
@@ -3,8 +3,8 @@
 import { KEYS } from './keys.js';
 
 /**
- * The revision of an owner's committed transaction, or the keys whose conditions failed. `ownershipLost` tells whether
- * the owner's key is among them, so that another node owns the shard.
+ * The revision of an owner's committed transaction, or the keys whose conditions failed. `ownershipLost` is
+ * true if the owner's key is among them, so that another node owns the shard.
  */
 export type OwnerTransactionResult =
   | { readonly ok: true; readonly revision: number }
--- a/src/workers/attemptreconciliation.ts
+++ b/src/workers/attemptreconciliation.ts
@@ -6,7 +6,7 @@
 export class AttemptReconciliation {
   constructor(private readonly context: Pick<RegistryContext, 'clock' | 'hooks'>) {}
 
-  /** Applies the task list of a heartbeat that carries the current fencing token. */
+  /** Applies the task list of a heartbeat that shows what the machine holds. */
   reconcile(machine: Machine, heartbeat: Heartbeat): void {
     const now = this.context.clock.now();
     const reported = new Set<string>();
@@ -17,7 +17,7 @@
       if (knownAttempt) this.update(knownAttempt, task, now);
       else this.addReported(machine, key, task, now);
     }
-    this.dropUnreported(machine, reported);
+    this.dropUnreported(machine, reported, heartbeat.fencingToken);
     if (machine.attempts.size === 0) machine.idleSince ??= now;
     else machine.idleSince = null;
   }
@@ -61,10 +61,13 @@
     this.context.hooks.onAttemptChanged(attempt);
   }
 
-  /** Drops the attempts that the machine did not report and that can no longer be started there. */
-  private dropUnreported(machine: Machine, reported: ReadonlySet<string>): void {
+  /**
+   * Drops the attempts that the machine did not report and that can no longer be started there, having seen
+   * `seenToken`.
+   */
+  private dropUnreported(machine: Machine, reported: ReadonlySet<string>, seenToken: number): void {
     for (const [key, attempt] of [...machine.attempts]) {
-      if (reported.has(key) || mayStillArrive(machine, attempt)) continue;
+      if (reported.has(key) || mayStillArrive(attempt, seenToken)) continue;
       machine.attempts.delete(key);
       if (!(attempt.state === 'exited' && attempt.exitRecorded))
         this.context.hooks.onAttemptGone(attempt, 'not reported');
@@ -72,8 +75,8 @@
   }
 }
 
-/** Returns whether an unreported attempt may still be started on the machine after this heartbeat. */
-function mayStillArrive(machine: Machine, attempt: TaskAttempt): boolean {
+/** Returns whether an unreported attempt may still be started on a machine that has seen `seenToken`. */
+function mayStillArrive(attempt: TaskAttempt, seenToken: number): boolean {
   if (attempt.startPhase === 'sending') return true;
-  return attempt.startPhase === 'unsure' && attempt.fencingToken >= machine.fencingToken;
+  return attempt.startPhase === 'unsure' && attempt.fencingToken >= seenToken;
 }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -16,7 +16,7 @@
    * reported the attempt.
    */
   startPhase: 'sending' | 'unsure' | 'known';
-  /** Fencing token that the start was sent under. */
+  /** Fencing token that the start was sent under; for a start of an earlier owner, a newer one. */
   fencingToken: number;
   /**
    * When the start was ordered, and when the attempt was first reported running and exited; monotonic milliseconds.
@@ -47,14 +47,19 @@
   decommissioning: boolean;
   /** Version of the machine's record in the key-value store. */
   version: number;
-  /** The fencing token that commands are sent under; commands with an older token are void. */
+  /** The fencing token that commands are sent under; once the machine has seen it, commands with an older one are void. */
   fencingToken: number;
+  /**
+   * The lowest fencing token whose heartbeats show what the machine holds. With an older one, a command of an earlier
+   * owner or an unanswered start could still be executed after the heartbeat.
+   */
+  minFencingToken: number;
   /** The machine's incarnation and the sequence number of its latest heartbeat, used to recognize late heartbeats. */
   incarnation: number;
   heartbeatSequence: number;
   /** Lowest incarnation whose heartbeats are accepted; those of earlier incarnations are late. */
   minIncarnation: number;
-  /** Whether the machine has sent a heartbeat under the current token. */
+  /** Whether the machine has sent a heartbeat under `minFencingToken` or a newer token. */
   reconciled: boolean;
   /** Whether the machine may hold unreported tasks that an earlier owner started. */
   mayHoldUnreportedTasks: boolean;
@@ -79,7 +84,7 @@
    * to this node.
    */
   unreachableAt: number | null;
-  /** Consecutive responses to heartbeats that did not show the current token. */
+  /** Consecutive responses to heartbeats that showed a token older than `minFencingToken`. */
   unconfirmedResponses: number;
   /** Consecutive task failures counted against the machine since a task last succeeded on it. */
   consecutiveErrors: number;
@@ -102,10 +107,14 @@
 
 /**
  * Classifies a heartbeat against the recorded state of its machine. Duplicates may arrive at any later time, so only
- * a heartbeat that is newer than the recorded state and carries the current token shows what the machine holds now.
+ * a heartbeat that is newer than the recorded state and carries no token of former commands shows what the machine
+ * holds now.
  */
 export function classifyHeartbeat(
-  known: Pick<Machine, 'incarnation' | 'heartbeatSequence' | 'minIncarnation' | 'fencingToken'>,
+  known: Pick<
+    Machine,
+    'incarnation' | 'heartbeatSequence' | 'minIncarnation' | 'fencingToken' | 'minFencingToken'
+  >,
   heartbeat: { incarnation: number; sequence: number; fencingToken: number },
 ): HeartbeatValidity {
   if (heartbeat.incarnation < known.minIncarnation || heartbeat.incarnation < known.incarnation)
@@ -113,7 +122,7 @@
   if (heartbeat.incarnation === known.incarnation && heartbeat.sequence <= known.heartbeatSequence)
     return 'late';
   if (heartbeat.fencingToken > known.fencingToken) return 'foreign';
-  return heartbeat.fencingToken < known.fencingToken ? 'untokened' : 'ok';
+  return heartbeat.fencingToken < known.minFencingToken ? 'untokened' : 'ok';
 }
 
 /** Returns the key of an attempt in `Machine.attempts`. */
--- a/src/workers/machineregistry.ts
+++ b/src/workers/machineregistry.ts
@@ -4,6 +4,7 @@
 import type { Requester } from '../http/client.js';
 import { type Heartbeat, writeHeartbeatResponse } from '../wire/workers.js';
 import { AttemptReconciliation } from './attemptreconciliation.js';
+import { FencingTokens } from './fencingtokens.js';
 import { HeartbeatProcessor } from './heartbeats.js';
 import { type Machine, nextHeartbeatWithinMs, type TaskAttempt } from './machine.js';
 import { hasLeaseStarted, MachineLeases } from './machineleases.js';
@@ -13,7 +14,7 @@
 import { WorkerCommands } from './workercommands.js';
 
 /**
- * How many consecutive responses go to a machine whose heartbeats do not show the current token. A machine that still
+ * How many consecutive responses go to a machine whose heartbeats show too old a token. A machine that still
  * does not show it receives no responses: if it were acknowledged further, its lease would count as renewed forever,
  * and the owner would wait indefinitely for the tasks that may be on it.
  */
@@ -54,9 +55,10 @@
     this.attempts = new AttemptReconciliation(context);
     this.heartbeats = new HeartbeatProcessor(context, this.attempts);
     this.leases = new MachineLeases(context, this.attempts);
-    this.commands = new WorkerCommands(context, this.heartbeats);
+    const tokens = new FencingTokens(context);
+    this.commands = new WorkerCommands(context, this.heartbeats, tokens);
     this.reconciliation = new MachineReconciliation(context, this.commands);
-    this.starts = new TaskStarts(context, this.commands, this.reconciliation);
+    this.starts = new TaskStarts(context, this.commands, tokens, this.reconciliation);
   }
 
   /** Stops the registry because the shard is lost: it sends no commands and applies no heartbeats from now on. */
@@ -86,10 +88,8 @@
     }
     machine.leaseRenewedAt = this.clock.now();
     machine.lastAcknowledgedAt = machine.leaseRenewedAt;
-    return writeHeartbeatResponse(
-      machine.fencingToken,
-      validity === 'ok' ? this.commands.pending(machine) : [],
-    );
+    const commands = validity === 'ok' ? this.commands.pending(machine) : [];
+    return writeHeartbeatResponse(machine.fencingToken, commands);
   }
 
   /**
@@ -109,7 +109,7 @@
     void this.reconciliation.reconcile(machine, null);
   }
 
-  /** Starts tasks on a machine that has sent a heartbeat under the current token. */
+  /** Starts tasks on a machine that is reconciled. */
   startTasks(machine: Machine, starts: readonly TaskStart[]): TaskAttempt[] {
     return this.starts.start(machine, starts);
   }
--- a/src/workers/registryhooks.ts
+++ b/src/workers/registryhooks.ts
@@ -16,8 +16,15 @@
 export interface MachineRegistryHooks {
   /** Returns true while this node is certain to hold the shard. */
   holdsShard(): boolean;
-  /** Stores a newer fencing token durably; returns the new version of the machine's record. */
-  renewFencingToken(machine: Machine): Promise<number>;
+  /**
+   * Returns the latest revision of the key-value store at which this node is known to have owned the shard. The terms
+   * of later owners are greater.
+   */
+  ownedRevision(): number;
+  /** Writes a machine's record and returns its new version, which is a newer revision than all known ones. */
+  writeRecord(machine: Machine): Promise<number>;
+  /** Returns whether a write that is not settled yet may assign the machine to another shard. */
+  isChangingShard(machine: Machine): boolean;
   /** Called when a machine reports an attempt that was not recorded for it. */
   onAttemptFound(attempt: TaskAttempt): void;
   /** Called when the state or the exit cause of a recorded attempt has changed. */
--- a/src/workers/taskstarts.ts
+++ b/src/workers/taskstarts.ts
@@ -1,12 +1,11 @@
 import { HttpRequestError } from '../http/client.js';
 import type { WorkerCommand } from '../wire/workers.js';
+import type { FencingTokens } from './fencingtokens.js';
 import type { Machine, TaskAttempt } from './machine.js';
 import type { MachineReconciliation } from './machinereconciliation.js';
 import type { GoneReason, RegistryContext } from './registryhooks.js';
 import { keyOfAttempt, type WorkerCommands } from './workercommands.js';
 
-const TOKEN_RETRY_MS = 1000;
-
 /** A task to start: its job, its index in the job, and the attempt number. */
 export interface TaskStart {
   readonly job: string;
@@ -17,17 +16,14 @@
 /** Starts tasks on machines, and determines which starts were executed. */
 export class TaskStarts {
   constructor(
-    private readonly context: Pick<
-      RegistryContext,
-      'clock' | 'log' | 'hooks' | 'machines' | 'isStopped' | 'isActive'
-    >,
+    private readonly context: Pick<RegistryContext, 'clock' | 'log' | 'hooks' | 'machines' | 'isActive'>,
     private readonly commands: WorkerCommands,
+    private readonly tokens: FencingTokens,
     private readonly reconciliation: MachineReconciliation,
   ) {}
 
   /**
-   * Starts tasks on a machine that has sent a heartbeat under the current token. From now on the machine may hold the
-   * returned attempts.
+   * Starts tasks on a machine that is reconciled. From now on the machine may hold the returned attempts.
    */
   start(machine: Machine, starts: readonly TaskStart[]): TaskAttempt[] {
     const now = this.context.clock.now();
@@ -100,7 +96,7 @@
       { machine: machine.id, tasks: attempts.length },
       'start unanswered: token renewal started',
     );
-    void this.renewFencingToken(machine);
+    void this.voidUnansweredStarts(machine);
   }
 
   /**
@@ -135,29 +131,9 @@
     this.context.hooks.requestPlan();
   }
 
-  /**
-   * Renews the fencing token, so that unanswered starts can no longer be executed; retries until the renewal
-   * succeeds.
-   */
-  private async renewFencingToken(machine: Machine): Promise<void> {
-    const { clock, hooks, machines } = this.context;
-    while (
-      !this.context.isStopped() &&
-      machines.get(machine.id) === machine &&
-      [...machine.attempts.values()].some((attempt) => attempt.startPhase === 'unsure')
-    ) {
-      try {
-        const version = await hooks.renewFencingToken(machine);
-        machine.version = version;
-        machine.fencingToken = Math.max(machine.fencingToken, version);
-        machine.reconciled = false;
-        void this.reconciliation.reconcile(machine, null);
-        return;
-      } catch {
-        await new Promise<void>((resolve) => {
-          clock.after(TOKEN_RETRY_MS, resolve);
-        });
-      }
-    }
+  /** Makes unanswered starts void, and asks the machine which of them it has executed. */
+  private async voidUnansweredStarts(machine: Machine): Promise<void> {
+    if (await this.tokens.raiseToVoidUnansweredStarts(machine))
+      void this.reconciliation.reconcile(machine, null);
   }
 }
--- a/src/workers/workercommands.ts
+++ b/src/workers/workercommands.ts
@@ -1,4 +1,5 @@
 import { readHeartbeat, WORKER_PATHS, type WorkerCommand, writeCommands } from '../wire/workers.js';
+import { type FencingTokens, isExitRecorded, isStartVoid } from './fencingtokens.js';
 import type { HeartbeatProcessor } from './heartbeats.js';
 import { attemptKey, type Machine, type TaskAttempt } from './machine.js';
 import type { RegistryContext } from './registryhooks.js';
@@ -24,6 +25,7 @@
   constructor(
     private readonly context: Pick<RegistryContext, 'clock' | 'http' | 'machines' | 'isStopped' | 'isActive'>,
     private readonly heartbeats: HeartbeatProcessor,
+    private readonly tokens: FencingTokens,
   ) {}
 
   /**
@@ -93,14 +95,17 @@
     return due;
   }
 
-  /** Returns the commands to include in the response to a machine's heartbeat. */
+  /**
+   * Returns the commands to include in the response to a machine's heartbeat. May raise the machine's fencing token,
+   * which the response has to carry.
+   */
   pending(machine: Machine): WorkerCommand[] {
+    this.tokens.raiseToForget(machine);
     const commands: WorkerCommand[] = [];
     for (const attempt of machine.attempts.values()) {
-      if (attempt.state === 'exited') {
-        if (attempt.exitRecorded)
-          commands.push({ op: 'forget', job: attempt.job, index: attempt.index, attempt: attempt.attempt });
-      } else if (attempt.stop) {
+      if (isExitRecorded(attempt)) {
+        if (isStartVoid(attempt)) commands.push(forgetCommand(attempt));
+      } else if (attempt.stop && attempt.state !== 'exited') {
         commands.push(stopCommand(attempt));
       }
     }
@@ -113,6 +118,10 @@
   return attemptKey(attempt.job, attempt.index, attempt.attempt);
 }
 
+function forgetCommand(attempt: TaskAttempt): WorkerCommand {
+  return { op: 'forget', job: attempt.job, index: attempt.index, attempt: attempt.attempt };
+}
+
 function stopCommand(attempt: TaskAttempt): WorkerCommand {
   return {
     op: 'stop',
--- a/tests/support/meeting.ts
+++ b/tests/support/meeting.ts
@@ -26,6 +26,8 @@
   done: number;
   cancelled: number;
   starts: number;
+  /** Number of start commands that were repeated after they had been carried out. */
+  startsRepeated: number;
 }
 
 /**
@@ -36,13 +38,15 @@
 export async function playScenario(
   seed: number,
   fixedFaults: Fault[] | null = null,
+  /** Faults in addition to the drawn or fixed ones. */
+  additionalFaults: readonly Fault[] = [],
   /** Decides the outcome of a request before the faults do; null leaves it to them. */
   fate:
     | ((from: string, addr: string, method: string, path: string, body: unknown) => RequestOutcome | null)
     | null = null,
 ): Promise<ScenarioResult> {
   const random = new Random(seed);
-  const faults = fixedFaults ?? drawFaults(random);
+  const faults = [...(fixedFaults ?? drawFaults(random)), ...additionalFaults];
   const cluster = new FakeCluster(NODES);
   cluster.teams = [
     { name: 'red', cpus: 16, cpusMax: 32, gpus: 0, gpusMax: 0 },
@@ -104,7 +108,7 @@
   for (const w of [...cluster.workers]) cluster.remove(w);
   const specs = new Map([...users.jobs].map(([id, k]) => [id, k.spec]));
   const limits = { teams: cluster.teams, cancelS: CANCEL_S, ordered: commandedAt };
-  violations.push(...checkHistory(tasks.history, users.events, specs, limits));
+  violations.push(...checkHistory(tasks.history, users.events, specs, limits), ...injector.repeatedStarts);
   for (const n of NODES) cluster.killNode(n);
   const jobsReported = (status: string) =>
     new Set(users.events.filter((e) => e.status === status || e.kind === status).map((e) => e.job)).size;
@@ -116,13 +120,14 @@
     done: jobsReported('done'),
     cancelled: jobsReported('cancelled'),
     starts: tasks.history.filter((e) => e.kind === 'on').length,
+    startsRepeated: injector.startsRepeated,
   };
 }
 
 /** Records when each start command was sent; `outcomeOf` takes precedence over the faults. */
 function recordStartCommands(
   cluster: FakeCluster,
-  fate: Parameters<typeof playScenario>[2],
+  fate: Parameters<typeof playScenario>[3],
 ): Map<string, number> {
   const commandedAt = new Map<string, number>();
   const faultOutcome = cluster.net.outcomeOf;
--- a/tests/support/net.ts
+++ b/tests/support/net.ts
@@ -16,10 +16,21 @@
  */
 export type RequestOutcome = 'deliver' | 'refuse' | 'silent' | 'lost-answer' | 'hold' | number;
 
+/** A request as it arrived at a peer. */
+export interface SentRequest {
+  readonly addr: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: unknown;
+  readonly from: string;
+}
+
 /** A network of scripted peers; a test decides the outcome of each request. */
 export class FakeNet {
   readonly peers = new Map<string, Peer>();
-  readonly held: { addr: string; method: string; path: string; body: unknown; from: string }[] = [];
+  readonly held: SentRequest[] = [];
+  /** Called with each request that a peer has answered in time. */
+  onAnswered: ((request: SentRequest, response: ServiceResponse) => void) | null = null;
   outcomeOf: (from: string, addr: string, method: string, path: string, body: unknown) => RequestOutcome =
     () => 'deliver';
 
@@ -40,7 +51,13 @@
 
   /** Delivers the held requests; their senders have timed out and get no answer. */
   async release(): Promise<void> {
-    for (const h of this.held.splice(0)) await this.peers.get(h.addr)?.(h.method, h.path, h.body, h.from);
+    for (const request of this.held.splice(0)) await this.repeat(request);
+  }
+
+  /** Delivers a request once more; its sender gets no answer. Returns the response, or null if no peer is there. */
+  async repeat({ addr, method, path, body, from }: SentRequest): Promise<ServiceResponse | null> {
+    const copy: unknown = body === null ? null : JSON.parse(JSON.stringify(body));
+    return (await this.peers.get(addr)?.(method, path, copy, from)) ?? null;
   }
 
   private async request(
@@ -70,6 +87,7 @@
       const arrive = () =>
         void Promise.resolve(peer(method, path, copy, from)).then((served) => {
           timer.cancel();
+          this.onAnswered?.({ addr, method, path, body: copy, from }, served);
           resolve({ ...served, headers: new Map() });
         });
       const ms = this.delayMs();
--- a/tests/support/troubles.ts
+++ b/tests/support/troubles.ts
@@ -1,8 +1,10 @@
 import { pause } from '../../src/clock/clock.js';
 import type { Random } from '../../src/emulator/random.js';
 import type { Worker } from '../../src/emulator/worker.js';
+import type { Violation } from '../../src/load/history.js';
+import { readCommands, WORKER_PATHS } from '../../src/wire/workers.js';
 import { type FakeCluster, STATE } from './cluster.js';
-import type { RequestOutcome } from './net.js';
+import type { RequestOutcome, SentRequest } from './net.js';
 import type { Users } from './users.js';
 
 /** A scheduled fault; times are in seconds, and `share` is the affected fraction or the probability of its target. */
@@ -44,10 +46,14 @@
   'ten leaders': 120,
   'slow links': 60,
   burst: 1,
+  'repeated orders': 120,
 } as const;
 export type FaultKind = keyof typeof MAX_DURATION_S;
 export const FAULT_KINDS = Object.keys(MAX_DURATION_S) as FaultKind[];
 
+/** The kinds that are drawn at random. Others are added by name, so that the faults of a seed stay the same. */
+const DRAWN_FAULT_KINDS = FAULT_KINDS.filter((kind) => kind !== 'repeated orders');
+
 /** Faults of the key-value store and of writes to it, which most safety rules depend on. */
 const STATE_FAULT_KINDS: FaultKind[] = [
   'late writes',
@@ -61,7 +67,7 @@
 export function drawFaults(random: Random): Fault[] {
   const centreS = random.between(15, 45);
   return Array.from({ length: random.chance(0.5) ? 2 : 3 }, (_, i): Fault => {
-    const kind = random.pick(i === 0 && random.chance(0.6) ? STATE_FAULT_KINDS : FAULT_KINDS);
+    const kind = random.pick(i === 0 && random.chance(0.6) ? STATE_FAULT_KINDS : DRAWN_FAULT_KINDS);
     return {
       atS: round(centreS + random.between(-6, 12)),
       kind,
@@ -119,12 +125,15 @@
 const LEADER_CHANGES = 10;
 const MAX_BURST_JOBS = 25;
 const TERM_POLL_MS = 50;
+/** A repeated command arrives between these times after the original. */
+const REPEAT_AFTER_MS = { min: 200, max: 60_000 };
 
 /** Injects faults into a scripted cluster, and ends them. */
 export class FaultInjector {
   private readonly delayedWrites = new Set<Fault>();
   private readonly lostAnswers = new Set<Fault>();
   private readonly delayedCommands = new Set<Fault>();
+  private readonly repeatedCommands = new Set<Fault>();
   private readonly delayedHeartbeats = new Set<Fault>();
   private readonly heartbeatsForNextLeader = new Set<Fault>();
   /** The heartbeats kept for the next leader, one per machine. */
@@ -135,6 +144,10 @@
   private readonly hangUntil = new Map<string, number>();
   private slowUntil = 0;
   private activeCount = 0;
+  /** Number of start commands that were repeated after they had been carried out. */
+  startsRepeated = 0;
+  /** Repeated start commands that were carried out again. */
+  readonly repeatedStarts: Violation[] = [];
 
   constructor(
     private readonly cluster: FakeCluster,
@@ -144,6 +157,9 @@
   ) {
     cluster.net.outcomeOf = (from, addr, _method, path) => this.fate(from, addr, path);
     cluster.onHeartbeat = (report) => this.captureHeartbeat(report);
+    cluster.net.onAnswered = (request, response) => {
+      if (request.path === WORKER_PATHS.commands && response.status === 200) this.maybeRepeat(request);
+    };
     const state = cluster.net.peers.get(STATE)!;
     cluster.net.peers.set(STATE, async (...request) => {
       const served = await state(...request);
@@ -186,6 +202,27 @@
     return 'deliver';
   }
 
+  /** Repeats a request that a worker has carried out, at some later time. */
+  private maybeRepeat(request: SentRequest): void {
+    const { random, cluster } = this;
+    if (![...this.repeatedCommands].some((fault) => random.chance(fault.share))) return;
+    const commands = readCommands(request.body)?.commands ?? [];
+    const starts = commands.filter((command) => command.op === 'start');
+    cluster.clock.after(random.between(REPEAT_AFTER_MS.min, REPEAT_AFTER_MS.max), () => {
+      const worker = cluster.workers.find((w) => w.identity.addr === request.addr);
+      if (!worker) return;
+      this.startsRepeated += starts.length;
+      const executedBefore = worker.executedStarts.length;
+      void cluster.net.repeat(request);
+      for (const task of worker.executedStarts.slice(executedBefore))
+        this.repeatedStarts.push({
+          rule: 'started_by_repeat',
+          at: cluster.clock.now(),
+          what: `${task} starts again on ${worker.id}`,
+        });
+    });
+  }
+
   private captureHeartbeat(report: object): void {
     const id = (report as { worker: string }).worker;
     if (this.heartbeatsForNextLeader.size > 0 && !this.keptHeartbeats.has(id))
@@ -280,6 +317,8 @@
         return whileActive(this.lostAnswers);
       case 'late orders':
         return whileActive(this.delayedCommands);
+      case 'repeated orders':
+        return whileActive(this.repeatedCommands);
       case 'late reports':
         return whileActive(this.delayedHeartbeats);
       case 'slow state':
