Drawn fault scenarios check starts after a confirmed cancellation again

Cause: playScenario handed the checker the times of start commands under a name that the checker no longer has (`ordered`, now `startSentAt`), so that this rule was never checked there. The compiler could not see it, since the limits were not a literal of the argument. Change: the limits have their type, and the name is that of the checker. The check is stricter than before.

--- a/tests/support/meeting.ts
+++ b/tests/support/meeting.ts
@@ -1,7 +1,7 @@
 import { Random } from '../../src/emulator/random.js';
 import { Tasks } from '../../src/emulator/tasks.js';
 import { checkHistory } from '../../src/load/checkhistory.js';
-import { startKey, type Violation } from '../../src/load/history.js';
+import { type CheckLimits, startKey, type Violation } from '../../src/load/history.js';
 import { type FreeCapacity, StarvationCheck, type WaitingJob } from '../../src/load/starvationcheck.js';
 import type { JobSpec } from '../../src/wire/users.js';
 import { readCommands, WORKER_PATHS } from '../../src/wire/workers.js';
@@ -107,7 +107,7 @@
   }
   for (const w of [...cluster.workers]) cluster.remove(w);
   const specs = new Map([...users.jobs].map(([id, k]) => [id, k.spec]));
-  const limits = { teams: cluster.teams, cancelS: CANCEL_S, ordered: commandedAt };
+  const limits: CheckLimits = { teams: cluster.teams, cancelS: CANCEL_S, startSentAt: commandedAt };
   violations.push(...checkHistory(tasks.history, users.events, specs, limits), ...injector.repeatedStarts);
   for (const n of NODES) cluster.killNode(n);
   const jobsReported = (status: string) =>
